Lay out the workspace, the decision core's seam and the protocols

Cause: nothing stands yet; parts that go side by side need their contracts first. Ruled out: one crate (the core would build with ntex), ids by position (they would change with each generation of the configuration).

--- /dev/null
+++ b/core/src/core.rs
@@ -0,0 +1,241 @@
+//! The decision core: tables, and systems that run over them.
+//!
+//! It does no I/O, reads no clock and makes no random numbers. To drive it, call [`Core::open`]
+//! once, then [`Core::handle`] with each [`Event`] and the time at which it happened, in any
+//! order that the outside produces, and carry out the [`Command`]s that it gives back. Send
+//! [`Event::Tick`] every [`TICK_MS`]: limits on time are checked then.
+
+use {
+    crate::{
+        cache::CacheIndex,
+        command::{Command, Usage},
+        declaration::{Class, Configuration, Customer},
+        event::Event,
+        id::{
+            AttemptId, ClassId, CustomerId, DomainId, EntryId, Generation, ModelId, RequestId,
+            WeightsVersion, WorkerId,
+        },
+        record::{CallId, RecordCall},
+        request::Request,
+        system::{configuration, liveness, once, request, stream},
+        table::Table,
+        unit::{DurationMs, TimeMs},
+        verdict::{Cause, Refusal, Verdict},
+        worker::Worker,
+    },
+    serde::{Deserialize, Serialize},
+};
+
+/// How often the core wants to be ticked.
+pub const TICK_MS: DurationMs = DurationMs(20);
+
+/// What a core has to know from the start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CoreSettings {
+    /// The entry VM that it decides for.
+    pub entry: EntryId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// The life of the process: drawn at random at its start, never used twice.
+    pub incarnation: u64,
+    /// Requests in progress at the most.
+    pub max_requests: usize,
+}
+
+/// The state of the decisions.
+#[derive(Debug)]
+pub struct Core {
+    pub(crate) settings: CoreSettings,
+    pub(crate) now: TimeMs,
+    pub(crate) configuration: Configuration,
+    pub(crate) classes: Table<ClassId, Class>,
+    pub(crate) customers: Table<CustomerId, Customer>,
+    pub(crate) models: Table<ModelId, WeightsVersion>,
+    pub(crate) workers: Table<WorkerId, Worker>,
+    pub(crate) requests: Table<RequestId, Request>,
+    pub(crate) attempts: Table<AttemptId, RequestId>,
+    pub(crate) once: Table<AttemptId, once::OnceUse>,
+    pub(crate) calls: Table<CallId, AttemptId>,
+    pub(crate) cache: CacheIndex,
+    pub(crate) shutting_down: bool,
+    next_attempt: u64,
+    next_call: u64,
+    out: Vec<Command>,
+}
+
+impl Core {
+    /// A core that knows nothing but its settings.
+    #[must_use]
+    pub fn open(settings: CoreSettings) -> Self {
+        Self {
+            settings,
+            now: TimeMs::default(),
+            configuration: Configuration::default(),
+            classes: Table::default(),
+            customers: Table::default(),
+            models: Table::default(),
+            workers: Table::default(),
+            requests: Table::default(),
+            attempts: Table::default(),
+            once: Table::default(),
+            calls: Table::default(),
+            cache: CacheIndex::default(),
+            shutting_down: false,
+            next_attempt: 0,
+            next_call: 0,
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes an event in and gives back what is to be done, in order. Time never runs backward:
+    /// an earlier `now` counts as the latest one seen.
+    pub fn handle(&mut self, now: TimeMs, event: Event) -> Vec<Command> {
+        self.now = self.now.max(now);
+        match event {
+            Event::Arrived(arrival) => request::arrive(self, arrival),
+            Event::AttemptAccepted {
+                attempt,
+                incarnation,
+                cached_tokens,
+            } => {
+                stream::accepted(self, attempt, incarnation, cached_tokens);
+            }
+            Event::Piece {
+                attempt,
+                offset_bytes,
+                text,
+            } => {
+                stream::piece(self, attempt, offset_bytes, &text);
+            }
+            Event::AttemptFinished {
+                attempt,
+                answer_bytes,
+                answer_tokens,
+            } => {
+                stream::finished(self, attempt, answer_bytes, answer_tokens);
+            }
+            Event::CallAnswered {
+                attempt,
+                status,
+                body,
+            } => {
+                request::answered(self, attempt, status, body);
+            }
+            Event::AttemptFailed {
+                attempt,
+                verdict,
+                failure,
+            } => {
+                request::failed(self, attempt, verdict, failure);
+            }
+            Event::CallerLeft { request } => request::caller_left(self, request),
+            Event::RecordAnswered { call, answer } => once::answered(self, call, answer),
+            Event::Probed {
+                worker,
+                incarnation,
+            } => liveness::probed(self, worker, incarnation),
+            Event::Load(report) => liveness::load(self, report),
+            Event::Cache(report) => liveness::cache(self, &report),
+            Event::Vms(list) => liveness::listed(self, &list),
+            Event::Configured(accepted) => configuration::accept(self, accepted),
+            Event::ShutdownStarted => self.shutting_down = true,
+            Event::Tick => self.tick(),
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn tick(&mut self) {
+        liveness::tick(self);
+        stream::tick(self);
+        once::tick(self);
+    }
+
+    /// The generation of the configuration in force.
+    #[must_use]
+    pub const fn generation(&self) -> Generation {
+        self.configuration.generation
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub const fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// Requests in progress.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Uses of idempotency keys that still have to be written to the table service.
+    #[must_use]
+    pub fn unsettled(&self) -> usize {
+        self.once.len()
+    }
+
+    /// The workers, in the order of their ids.
+    pub fn workers(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.iter().map(|row| row.1)
+    }
+
+    pub(crate) fn emit<C>(&mut self, command: C)
+    where
+        C: Into<Command>,
+    {
+        self.out.push(command.into());
+    }
+
+    pub(crate) fn new_attempt(&mut self) -> AttemptId {
+        self.next_attempt += 1;
+        AttemptId(u128::from(self.settings.incarnation) << 64 | u128::from(self.next_attempt))
+    }
+
+    pub(crate) fn record(&mut self, owner: AttemptId, what: RecordCall) {
+        self.next_call += 1;
+        let call = CallId(self.next_call);
+        self.calls.insert(call, owner);
+        self.emit(Command::Record { call, what });
+    }
+
+    pub(crate) fn refuse(
+        &mut self,
+        request: RequestId,
+        verdict: Verdict,
+        cause: Cause,
+        retry_after_ms: DurationMs,
+    ) {
+        self.forget(request);
+        let refusal = Refusal {
+            verdict,
+            cause,
+            retry_after_ms,
+        };
+        self.emit(Command::Refuse { request, refusal });
+    }
+
+    pub(crate) fn complete(&mut self, request: RequestId, usage: Usage) {
+        self.forget(request);
+        self.emit(Command::Complete { request, usage });
+    }
+
+    /// Ends a request: its attempt, if any, no longer counts.
+    pub(crate) fn forget(&mut self, request: RequestId) {
+        self.end_attempt(request);
+        self.requests.remove(&request);
+    }
+
+    /// Ends the attempt in progress of a request, if there is one.
+    pub(crate) fn end_attempt(&mut self, request: RequestId) {
+        let Some(request) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let Some(attempt) = request.attempt.take() else {
+            return;
+        };
+        self.attempts.remove(&attempt.id);
+        if let Some(worker) = self.workers.get_mut(&attempt.worker) {
+            worker.in_flight = worker.in_flight.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,45 @@
+//! The decisions of cactusspur, without I/O.
+//!
+//! [`Core`] takes typed [`Event`]s with a time in and gives typed [`Command`]s back. See
+//! [`core`](crate::core) for how to drive it.
+
+pub mod cache;
+pub mod command;
+pub mod core;
+pub mod declaration;
+pub mod event;
+pub mod id;
+pub mod prefix;
+pub mod record;
+pub mod request;
+mod system;
+pub mod table;
+pub mod unit;
+pub mod verdict;
+pub mod worker;
+
+pub use crate::{
+    command::{Command, Send, Usage},
+    core::{Core, CoreSettings, TICK_MS},
+    declaration::{Class, Configuration, CreditGrant, Customer, Declarations, Model, ServedBy},
+    event::{
+        Arrival, CacheChange, CacheReport, Event, Failure, LoadReport, RETRY_AFTER_MS, Vm, VmList,
+        VmRole,
+    },
+    id::{
+        AttemptId, CacheSequence, ClassId, CustomerId, DomainId, EntryId, FencingNumber,
+        Generation, Incarnation, ModelId, OnceKey, PieceHash, RequestId, ServiceId, WeightsVersion,
+        WorkerId,
+    },
+    prefix::{
+        BYTES_PER_TOKEN, PIECE_BYTES, PIECE_TOKENS, PrefixChain, PrefixScope, tokens_of_bytes,
+    },
+    record::{
+        CallId, LeaseRecord, LedgerRecord, OnceRecord, OnceState, Record, RecordAnswer, RecordCall,
+        RecordKey, Row, RowVersion,
+    },
+    table::Table,
+    unit::{DurationMs, MicroCredits, TimeMs, Tokens, TokensPerSecond},
+    verdict::{Cause, Refusal, Verdict},
+    worker::{Liveness, Worker},
+};
--- /dev/null
+++ b/core/src/request.rs
@@ -0,0 +1,74 @@
+//! Requests in progress and their attempts.
+
+use crate::{
+    event::Arrival,
+    id::{AttemptId, ClassId, CustomerId, Incarnation, OnceKey, RequestId, WorkerId},
+    prefix::PrefixScope,
+    unit::{DurationMs, TimeMs, Tokens},
+};
+
+/// A request in progress.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its id.
+    pub id: RequestId,
+    /// What was asked.
+    pub arrival: Arrival,
+    /// When it arrived.
+    pub arrived_at_ms: TimeMs,
+    /// The tokens of its prompt.
+    pub prompt_tokens: Tokens,
+    /// Its idempotency key, when its class may not be repeated.
+    pub once: Option<OnceKey>,
+    /// The attempt in progress.
+    pub attempt: Option<Attempt>,
+    /// Attempts that were sent.
+    pub attempts_sent: u32,
+    /// Workers that have failed it.
+    pub failed_on: Vec<WorkerId>,
+    /// Bytes of the answer that were delivered.
+    pub delivered_bytes: u64,
+    /// Time from arrival to the first delivered byte.
+    pub first_token_ms: Option<DurationMs>,
+    /// Cached tokens, as the worker of the first piece reported them.
+    pub cached_tokens: Tokens,
+}
+
+impl Request {
+    /// The customer.
+    #[must_use]
+    pub const fn customer(&self) -> CustomerId {
+        self.arrival.customer
+    }
+
+    /// The class.
+    #[must_use]
+    pub const fn class(&self) -> ClassId {
+        self.arrival.class
+    }
+}
+
+/// An attempt in progress.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Its id.
+    pub id: AttemptId,
+    /// Its worker.
+    pub worker: WorkerId,
+    /// The life of the worker that it was sent to, or that has taken it on.
+    pub incarnation: Option<Incarnation>,
+    /// What its cached pieces belong to; none for a plain service.
+    pub scope: Option<PrefixScope>,
+    /// When it was sent.
+    pub sent_at_ms: TimeMs,
+    /// When the worker was last heard of on its connection.
+    pub heard_at_ms: TimeMs,
+    /// The first token's predicted time from sending.
+    pub predicted_ms: DurationMs,
+    /// Prompt tokens that were expected to be computed.
+    pub uncached_tokens: Tokens,
+    /// Whether any piece has come.
+    pub streaming: bool,
+    /// Whether the worker is being probed because of it.
+    pub probing: bool,
+}
--- /dev/null
+++ b/core/src/system/once.rs
@@ -0,0 +1,270 @@
+//! Runs a request that may not be repeated at most once.
+//!
+//! The key is bound to an attempt by a conditional write before the attempt is sent. Only the
+//! process that bound it sends it. A key is bound anew only when its attempt was abandoned, which
+//! only the process that bound it may do, and only while it has not sent it.
+
+use {
+    super::request,
+    crate::{
+        command::Command,
+        core::Core,
+        event::RETRY_AFTER_MS,
+        id::{AttemptId, OnceKey, RequestId},
+        record::{
+            CallId, OnceRecord, OnceState, Record, RecordAnswer, RecordCall, RecordKey, Row,
+            RowVersion,
+        },
+        unit::{DurationMs, TimeMs},
+        verdict::{Cause, Verdict},
+    },
+    bytes::Bytes,
+};
+
+/// How long the table service may take to bind a key before the request is refused.
+const BIND_LIMIT_MS: DurationMs = DurationMs(1_000);
+/// The time between two tries of a write that has to succeed.
+const SETTLE_INTERVAL_MS: DurationMs = DurationMs(250);
+
+/// The use of a key by an attempt of this process.
+#[derive(Clone, Debug)]
+pub struct OnceUse {
+    key: OnceKey,
+    body_hash: u64,
+    started_at_ms: TimeMs,
+    version: Option<RowVersion>,
+    retry_at_ms: Option<TimeMs>,
+    stage: Stage,
+}
+
+#[derive(Clone, Debug)]
+enum Stage {
+    /// The key is being bound; nothing was sent.
+    Binding { request: RequestId },
+    /// The attempt was sent.
+    Sent,
+    /// The attempt won't be sent; the row is to say so.
+    Abandoning,
+    /// The attempt was answered; the row is to keep the answer.
+    Finishing { status: u16, body: Bytes },
+}
+
+/// Starts to bind the request's key to a new attempt.
+pub fn record(core: &mut Core, id: RequestId) {
+    let attempt = core.new_attempt();
+    let Some(request) = core.requests.get(&id) else {
+        return;
+    };
+    let Some(key) = request.once.clone() else {
+        return;
+    };
+    let using = OnceUse {
+        key,
+        body_hash: request.arrival.body_hash,
+        started_at_ms: core.now,
+        version: None,
+        retry_at_ms: None,
+        stage: Stage::Binding { request: id },
+    };
+    core.once.insert(attempt, using);
+    write(core, attempt);
+}
+
+/// Writes the row as the stage wants it.
+fn write(core: &mut Core, attempt: AttemptId) {
+    let Some(using) = core.once.get_mut(&attempt) else {
+        return;
+    };
+    using.retry_at_ms = None;
+    let state = match &using.stage {
+        Stage::Binding { .. } | Stage::Sent => OnceState::Intent,
+        Stage::Abandoning => OnceState::Abandoned,
+        Stage::Finishing { status, body } => OnceState::Done {
+            status: *status,
+            body: body.clone(),
+        },
+    };
+    let record = OnceRecord {
+        attempt,
+        body_hash: using.body_hash,
+        recorded_at_ms: using.started_at_ms,
+        state,
+    };
+    let what = RecordCall::Write {
+        key: RecordKey::Once(using.key.clone()),
+        expected: using.version,
+        record: Record::Once(record),
+    };
+    core.record(attempt, what);
+}
+
+/// Takes the answer of the table service in.
+pub fn answered(core: &mut Core, call: CallId, answer: RecordAnswer) {
+    let Some(attempt) = core.calls.remove(&call) else {
+        return;
+    };
+    let Some(using) = core.once.get(&attempt) else {
+        return;
+    };
+    match (using.stage.clone(), answer) {
+        (Stage::Sent, _) => {}
+        (Stage::Binding { request }, RecordAnswer::Written(version)) => {
+            bound(core, attempt, request, version);
+        }
+        (Stage::Binding { request }, RecordAnswer::Conflict(row)) => {
+            conflict(core, attempt, request, row);
+        }
+        (Stage::Abandoning | Stage::Finishing { .. }, RecordAnswer::Written(_)) => {
+            core.once.remove(&attempt);
+        }
+        (Stage::Abandoning | Stage::Finishing { .. }, RecordAnswer::Conflict(row)) => {
+            settle_conflict(core, attempt, row);
+        }
+        (_, RecordAnswer::Unknown | RecordAnswer::Read(_)) => retry_later(core, attempt),
+    }
+}
+
+fn retry_later(core: &mut Core, attempt: AttemptId) {
+    let at = core.now.after(SETTLE_INTERVAL_MS);
+    if let Some(using) = core.once.get_mut(&attempt) {
+        using.retry_at_ms = Some(at);
+    }
+}
+
+/// The key is bound to the attempt: it is sent.
+fn bound(core: &mut Core, attempt: AttemptId, request: RequestId, version: RowVersion) {
+    let Some(using) = core.once.get_mut(&attempt) else {
+        return;
+    };
+    using.version = Some(version);
+    using.stage = Stage::Sent;
+    if !request::send_as(core, request, attempt) {
+        abandon(core, attempt);
+    }
+}
+
+fn conflict(core: &mut Core, attempt: AttemptId, request: RequestId, row: Option<Row>) {
+    let Some(row) = row else {
+        restart(core, attempt, None);
+        return;
+    };
+    let Record::Once(record) = row.record else {
+        return;
+    };
+    let body_hash = core.once.get(&attempt).map(|using| using.body_hash);
+    if record.attempt == attempt {
+        bound(core, attempt, request, row.version);
+        return;
+    }
+    match record.state {
+        OnceState::Abandoned => restart(core, attempt, Some(row.version)),
+        _ if body_hash != Some(record.body_hash) => {
+            core.once.remove(&attempt);
+            core.refuse(request, Verdict::NotRun, Cause::KeyMismatch, RETRY_AFTER_MS);
+        }
+        OnceState::Intent => {
+            core.once.remove(&attempt);
+            core.refuse(
+                request,
+                Verdict::MayHaveRun,
+                Cause::KeyInUse,
+                RETRY_AFTER_MS,
+            );
+        }
+        OnceState::Done { status, body } => {
+            core.once.remove(&attempt);
+            core.forget(request);
+            core.emit(Command::Answer {
+                request,
+                status,
+                body,
+                replayed: true,
+            });
+        }
+    }
+}
+
+fn restart(core: &mut Core, attempt: AttemptId, version: Option<RowVersion>) {
+    if let Some(using) = core.once.get_mut(&attempt) {
+        using.version = version;
+    }
+    write(core, attempt);
+}
+
+/// The row is not as expected while it is to be settled: goes on from what stands there, as long
+/// as that is this attempt's or nobody's.
+fn settle_conflict(core: &mut Core, attempt: AttemptId, row: Option<Row>) {
+    let Some(Row {
+        version,
+        record: Record::Once(record),
+    }) = row
+    else {
+        restart(core, attempt, None);
+        return;
+    };
+    if record.attempt == attempt && record.state == OnceState::Intent {
+        restart(core, attempt, Some(version));
+        return;
+    }
+    core.once.remove(&attempt);
+}
+
+/// Says of a bound attempt that it won't be sent.
+fn abandon(core: &mut Core, attempt: AttemptId) {
+    if let Some(using) = core.once.get_mut(&attempt) {
+        using.stage = Stage::Abandoning;
+    }
+    write(core, attempt);
+}
+
+/// Keeps the answer of an attempt.
+pub fn done(core: &mut Core, attempt: AttemptId, status: u16, body: Bytes) {
+    let Some(using) = core.once.get_mut(&attempt) else {
+        return;
+    };
+    using.stage = Stage::Finishing { status, body };
+    write(core, attempt);
+}
+
+/// Takes the failure of an attempt in: only one that was surely not run frees the key.
+pub fn failed(core: &mut Core, request: RequestId, attempt: AttemptId, verdict: Verdict) {
+    core.refuse(request, verdict, Cause::BackendFailed, RETRY_AFTER_MS);
+    match verdict {
+        Verdict::NotRun => abandon(core, attempt),
+        Verdict::MayHaveRun => {
+            core.once.remove(&attempt);
+        }
+    }
+}
+
+/// Tries unsettled writes again, and gives up binding after its limit.
+pub fn tick(core: &mut Core) {
+    let now = core.now;
+    let overdue: Vec<(AttemptId, RequestId)> = core
+        .once
+        .iter()
+        .filter(|(_, using)| now.since(using.started_at_ms) > BIND_LIMIT_MS)
+        .filter_map(|(attempt, using)| match using.stage {
+            Stage::Binding { request } => Some((*attempt, request)),
+            _ => None,
+        })
+        .collect();
+    for (attempt, request) in overdue {
+        core.refuse(
+            request,
+            Verdict::NotRun,
+            Cause::TableUnavailable,
+            RETRY_AFTER_MS,
+        );
+        abandon(core, attempt);
+    }
+    let due: Vec<AttemptId> = core
+        .once
+        .iter()
+        .filter(|(_, using)| using.retry_at_ms.is_some_and(|at| at <= now))
+        .map(|row| *row.0)
+        .collect();
+    for attempt in due {
+        write(core, attempt);
+    }
+}
--- /dev/null
+++ b/core/src/system/request.rs
@@ -0,0 +1,239 @@
+//! Takes requests in, sends their attempts, and ends them.
+
+use {
+    super::{liveness, once, placement},
+    crate::{
+        command::{Command, Send},
+        core::Core,
+        declaration::{Class, ServedBy},
+        event::{Arrival, Failure, RETRY_AFTER_MS},
+        id::{AttemptId, OnceKey, RequestId},
+        prefix::tokens_of_bytes,
+        request::{Attempt, Request},
+        unit::{DurationMs, Tokens},
+        verdict::{Cause, Refusal, Verdict},
+    },
+    bytes::Bytes,
+};
+
+/// Attempts that one request may take at the most.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// Takes a request in: it is sent, recorded or refused at once.
+pub fn arrive(core: &mut Core, arrival: Arrival) {
+    let id = arrival.request;
+    let class = match admit(core, &arrival) {
+        Ok(class) => class,
+        Err(cause) => {
+            let refusal = Refusal {
+                verdict: Verdict::NotRun,
+                cause,
+                retry_after_ms: RETRY_AFTER_MS,
+            };
+            core.emit(Command::Refuse {
+                request: id,
+                refusal,
+            });
+            return;
+        }
+    };
+    let once = once_key(&class, &arrival);
+    let bytes: usize = arrival.levels.iter().map(Bytes::len).sum();
+    let request = Request {
+        id,
+        arrived_at_ms: core.now,
+        prompt_tokens: tokens_of_bytes(bytes),
+        arrival,
+        once,
+        attempt: None,
+        attempts_sent: 0,
+        failed_on: Vec::new(),
+        delivered_bytes: 0,
+        first_token_ms: None,
+        cached_tokens: Tokens(0),
+    };
+    let recorded_first = request.once.is_some();
+    core.requests.insert(id, request);
+    if recorded_first {
+        once::record(core, id);
+    } else {
+        send(core, id);
+    }
+}
+
+fn admit(core: &Core, arrival: &Arrival) -> Result<Class, Cause> {
+    if core.shutting_down {
+        return Err(Cause::ShuttingDown);
+    }
+    if core.configuration.generation.0 == 0 {
+        return Err(Cause::NoConfiguration);
+    }
+    if core.requests.len() >= core.settings.max_requests {
+        return Err(Cause::TooManyRequests);
+    }
+    if !core.customers.contains(&arrival.customer) {
+        return Err(Cause::Unknown);
+    }
+    let class = core.classes.get(&arrival.class).ok_or(Cause::Unknown)?;
+    let needs_key = matches!(
+        class.served_by,
+        ServedBy::Service {
+            idempotent: false,
+            ..
+        }
+    );
+    if needs_key && arrival.once_key.is_none() {
+        return Err(Cause::BadRequest);
+    }
+    Ok(class.clone())
+}
+
+fn once_key(class: &Class, arrival: &Arrival) -> Option<OnceKey> {
+    if !matches!(
+        class.served_by,
+        ServedBy::Service {
+            idempotent: false,
+            ..
+        }
+    ) {
+        return None;
+    }
+    let key = arrival.once_key.clone()?;
+    Some(OnceKey {
+        customer: arrival.customer,
+        class: arrival.class,
+        key,
+    })
+}
+
+/// Places a request and sends a new attempt, or refuses it.
+pub fn send(core: &mut Core, id: RequestId) {
+    let attempt = core.new_attempt();
+    send_as(core, id, attempt);
+}
+
+/// Places a request and sends it as the given attempt, or refuses it. Returns whether it was sent.
+pub fn send_as(core: &mut Core, id: RequestId, attempt: AttemptId) -> bool {
+    let Some(class) = core
+        .requests
+        .get(&id)
+        .and_then(|request| core.classes.get(&request.class()))
+    else {
+        core.refuse(id, Verdict::NotRun, Cause::Unknown, RETRY_AFTER_MS);
+        return false;
+    };
+    let class = class.clone();
+    let Some(placed) = placement::place(core, id, &class) else {
+        core.refuse(id, Verdict::NotRun, Cause::NoWorker, RETRY_AFTER_MS);
+        return false;
+    };
+    let now = core.now;
+    let Some(request) = core.requests.get_mut(&id) else {
+        return false;
+    };
+    request.attempts_sent += 1;
+    request.attempt = Some(Attempt {
+        id: attempt,
+        worker: placed.worker,
+        incarnation: placed.incarnation,
+        scope: placed.scope,
+        sent_at_ms: now,
+        heard_at_ms: now,
+        predicted_ms: placed.predicted_ms,
+        uncached_tokens: placed.uncached_tokens,
+        streaming: false,
+        probing: false,
+    });
+    let resume_offset_bytes = request.delivered_bytes;
+    core.attempts.insert(attempt, id);
+    if let Some(worker) = core.workers.get_mut(&placed.worker) {
+        worker.in_flight += 1;
+        worker.sent.push_back((now, placed.uncached_tokens));
+    }
+    core.emit(Send {
+        request: id,
+        attempt,
+        worker: placed.worker,
+        incarnation: placed.incarnation,
+        priority: u32::try_from(class.first_token_target_ms.0).unwrap_or(u32::MAX),
+        scope: placed.scope,
+        resume_offset_bytes,
+        import: placed.import,
+        export: placed.export,
+    });
+    true
+}
+
+/// Takes a plain service's answer in.
+pub fn answered(core: &mut Core, attempt: AttemptId, status: u16, body: Bytes) {
+    let Some(id) = core.attempts.get(&attempt).copied() else {
+        return;
+    };
+    core.forget(id);
+    core.emit(Command::Answer {
+        request: id,
+        status,
+        body: body.clone(),
+        replayed: false,
+    });
+    once::done(core, attempt, status, body);
+}
+
+/// Takes the failure of an attempt in: another one, or the final answer.
+pub fn failed(core: &mut Core, attempt: AttemptId, verdict: Verdict, failure: Failure) {
+    let Some(id) = core.attempts.get(&attempt).copied() else {
+        return;
+    };
+    let Some(request) = core.requests.get_mut(&id) else {
+        return;
+    };
+    let worker = request.attempt.as_ref().map(|attempt| attempt.worker);
+    request.failed_on.extend(worker);
+    let once = request.once.is_some();
+    let tries_left = request.attempts_sent < MAX_ATTEMPTS;
+    core.end_attempt(id);
+    if let Some(worker) = worker
+        && failure != Failure::Refused
+    {
+        liveness::suspect(core, worker);
+    }
+    if once {
+        once::failed(core, id, attempt, verdict);
+        return;
+    }
+    if tries_left {
+        send(core, id);
+        return;
+    }
+    core.refuse(id, verdict, Cause::BackendFailed, RETRY_AFTER_MS);
+}
+
+/// Takes the caller's leaving in: the work is cancelled, unless it may not be repeated.
+pub fn caller_left(core: &mut Core, id: RequestId) {
+    let Some(request) = core.requests.get(&id) else {
+        return;
+    };
+    if request.once.is_some() {
+        return;
+    }
+    if let Some(attempt) = &request.attempt {
+        let command = Command::Cancel {
+            attempt: attempt.id,
+            worker: attempt.worker,
+        };
+        core.emit(command);
+    }
+    core.forget(id);
+}
+
+/// The longest time without a sign of life before a worker is asked over a new connection.
+#[must_use]
+pub fn silence_limit_ms(attempt: &Attempt) -> DurationMs {
+    const STREAMING_MS: u64 = 1_000;
+    const FIRST_PIECE_MS: u64 = 2_000;
+    if attempt.streaming {
+        DurationMs(STREAMING_MS)
+    } else {
+        DurationMs(FIRST_PIECE_MS + 3 * attempt.predicted_ms.0)
+    }
+}
--- /dev/null
+++ b/core/src/system/stream.rs
@@ -0,0 +1,138 @@
+//! Puts a model's answer together from the pieces of its attempts, in order and once.
+
+use {
+    super::{liveness, request},
+    crate::{
+        command::{Command, Usage},
+        core::Core,
+        event::Failure,
+        id::{AttemptId, Incarnation, RequestId, WorkerId},
+        request::{Attempt, Request},
+        unit::{MicroCredits, TimeMs, Tokens},
+        verdict::Verdict,
+    },
+    bytes::Bytes,
+};
+
+fn live(core: &mut Core, attempt: AttemptId) -> Option<(&mut Request, RequestId)> {
+    let id = core.attempts.get(&attempt).copied()?;
+    core.requests.get_mut(&id).map(|request| (request, id))
+}
+
+fn heard(request: &mut Request, now: TimeMs) -> Option<&mut Attempt> {
+    let attempt = request.attempt.as_mut()?;
+    attempt.heard_at_ms = now;
+    Some(attempt)
+}
+
+/// Takes in that a worker has taken an attempt on.
+pub fn accepted(
+    core: &mut Core,
+    attempt: AttemptId,
+    incarnation: Incarnation,
+    cached_tokens: Tokens,
+) {
+    let now = core.now;
+    let Some((request, _)) = live(core, attempt) else {
+        return;
+    };
+    if request.attempts_sent == 1 {
+        request.cached_tokens = cached_tokens;
+    }
+    let Some(attempt) = heard(request, now) else {
+        return;
+    };
+    attempt.incarnation = Some(incarnation);
+    let worker = attempt.worker;
+    liveness::seen_alive(core, worker, incarnation);
+}
+
+/// Takes a piece in. Pieces of other attempts, and what was delivered already, are dropped.
+pub fn piece(core: &mut Core, attempt: AttemptId, offset_bytes: u64, text: &Bytes) {
+    let now = core.now;
+    let Some((request, id)) = live(core, attempt) else {
+        return;
+    };
+    let delivered = request.delivered_bytes;
+    if offset_bytes > delivered {
+        request::failed(core, attempt, Verdict::MayHaveRun, Failure::Protocol);
+        return;
+    }
+    if let Some(attempt) = heard(request, now) {
+        attempt.streaming = true;
+    }
+    let known = usize::try_from(delivered - offset_bytes).unwrap_or(usize::MAX);
+    if known >= text.len() {
+        return;
+    }
+    let fresh = text.slice(known..);
+    request.delivered_bytes += fresh.len() as u64;
+    if request.first_token_ms.is_none() {
+        request.first_token_ms = Some(now.since(request.arrived_at_ms));
+    }
+    core.emit(Command::Deliver {
+        request: id,
+        text: fresh,
+    });
+}
+
+/// Takes the end of an answer in. It is whole only if all of it was delivered.
+pub fn finished(core: &mut Core, attempt: AttemptId, answer_bytes: u64, answer_tokens: Tokens) {
+    let now = core.now;
+    let Some((request, id)) = live(core, attempt) else {
+        return;
+    };
+    if request.delivered_bytes != answer_bytes {
+        request::failed(core, attempt, Verdict::MayHaveRun, Failure::Protocol);
+        return;
+    }
+    let usage = Usage {
+        prompt_tokens: request.prompt_tokens,
+        cached_tokens: request.cached_tokens,
+        answer_tokens,
+        first_token_ms: request
+            .first_token_ms
+            .unwrap_or(now.since(request.arrived_at_ms)),
+        cost_microcredits: MicroCredits(0),
+        attempts: request.attempts_sent,
+    };
+    core.complete(id, usage);
+}
+
+/// Asks workers over a new connection whose attempts have gone silent.
+pub fn tick(core: &mut Core) {
+    let now = core.now;
+    let silent: Vec<(RequestId, WorkerId)> = core
+        .requests
+        .iter()
+        .filter_map(|(id, request)| request.attempt.as_ref().map(|attempt| (*id, attempt)))
+        .filter(|(_, attempt)| !attempt.probing)
+        .filter(|(_, attempt)| now.since(attempt.heard_at_ms) > request::silence_limit_ms(attempt))
+        .map(|(id, attempt)| (id, attempt.worker))
+        .collect();
+    for (id, worker) in silent {
+        let attempt = core
+            .requests
+            .get_mut(&id)
+            .and_then(|request| request.attempt.as_mut());
+        if let Some(attempt) = attempt {
+            attempt.probing = true;
+        }
+        core.emit(Command::Probe { worker });
+    }
+}
+
+/// Takes the result of a probe in: silent attempts on that worker are given up.
+pub fn probed(core: &mut Core, worker: WorkerId, _incarnation: Option<Incarnation>) {
+    let silent: Vec<AttemptId> = core
+        .requests
+        .iter()
+        .filter_map(|(_, request)| request.attempt.as_ref())
+        .filter(|attempt| attempt.worker == worker && attempt.probing)
+        .map(|attempt| attempt.id)
+        .collect();
+    for attempt in silent {
+        core.emit(Command::Cancel { attempt, worker });
+        request::failed(core, attempt, Verdict::MayHaveRun, Failure::Broken);
+    }
+}
