--- a/core/src/declaration.rs
+++ b/core/src/declaration.rs
@@ -90,6 +90,7 @@
     /// Its name, which callers give as the model.
     pub name: String,
     /// What serves it.
+    #[serde(with = "serde_norway::with::singleton_map")]
     pub served_by: ServedBy,
     /// How quickly the first token (or a plain service's answer) must arrive.
     pub first_token_target_ms: DurationMs,
