Serve callers through a daemon on the core

Cause: the core decides but nothing carries its commands out. Ruled out: one core a thread (routers on one VM would not see each other's sends); holding the callers' side and the links in one thread (a slow link would stall callers). Change: driver (the core behind one lock, commands in order), callers' OpenAI API, links to workers, platform client, timer service, settings, operators' address, daemon with graceful shutdown.

--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -162,6 +162,12 @@
         &self.configuration
     }
 
+    /// A declared class.
+    #[must_use]
+    pub fn class(&self, id: ClassId) -> Option<&Class> {
+        self.classes.get(&id)
+    }
+
     /// Requests in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
--- a/src/bin/cactusspurd.rs
+++ b/src/bin/cactusspurd.rs
@@ -1,2 +1,39 @@
-//! x
-fn main() {}
+//! The daemon of an entry VM.
+
+use {
+    cactusspur::{Daemon, DaemonError, Settings, open_log},
+    clap::Parser,
+    error_stack::{Report, ResultExt},
+    std::{path::PathBuf, process::ExitCode},
+};
+
+/// Serves callers on an entry VM until it is asked to stop.
+///
+/// The first interrupt or termination signal starts a graceful shutdown.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    /// The settings file, in YAML.
+    #[arg(long)]
+    settings: PathBuf,
+}
+
+async fn run(arguments: Arguments) -> Result<(), Report<DaemonError>> {
+    let settings = Settings::open(&arguments.settings).change_context(DaemonError)?;
+    open_log(settings.log_format);
+    let daemon = Daemon::bind(settings).await?;
+    let _signal = ntex::server::signal().await;
+    daemon.shut_down().await;
+    Ok(())
+}
+
+#[ntex::main]
+async fn main() -> ExitCode {
+    match run(Arguments::parse()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,27 @@
-//! x
+//! A router for language-model traffic with long shared prompts.
+//!
+//! The decisions are in [`cactusspur_core`]; this crate is what surrounds them: callers, links to
+//! workers, the platform, operators.
+
+pub mod callers;
+pub mod daemon;
+pub mod driver;
+pub mod openai;
+pub mod operators;
+pub mod platform;
+pub mod settings;
+pub mod telemetry;
+pub mod timer;
+pub mod worker_link;
+
+pub use {
+    crate::{
+        daemon::{Daemon, DaemonError},
+        driver::{CallerEvent, Driver},
+        platform::{Platform, PlatformError, ValueRow, WriteOutcome},
+        settings::{LogFormat, Settings, SettingsError},
+        telemetry::{open_log, open_metrics},
+        timer::Timer,
+    },
+    cactusspur_core as core,
+};
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,3 @@
-//! x
+//! The operators' command line.
+
 fn main() {}
--- /dev/null
+++ b/src/openai.rs
@@ -0,0 +1,289 @@
+//! The callers' API in OpenAI's format: requests, answers, chunks and errors.
+//!
+//! Source: the OpenAI API reference, chat completions.
+
+use {
+    bytes::Bytes,
+    cactusspur_core::{Cause, Refusal, Tokens, Usage, Verdict},
+    derive_more::Display,
+    serde::Deserialize,
+    serde_json::{Value, json},
+};
+
+/// A chat completion request, as far as it is looked at. Other fields are passed over.
+#[derive(Clone, Debug, Deserialize)]
+pub struct ChatRequest {
+    /// The name of the class.
+    pub model: String,
+    /// The messages, as they came.
+    pub messages: Value,
+    /// The longest answer asked for, in tokens.
+    #[serde(default)]
+    pub max_tokens: Option<u64>,
+    /// The newer name of `max_tokens`.
+    #[serde(default)]
+    pub max_completion_tokens: Option<u64>,
+    /// Whether the answer is to be streamed.
+    #[serde(default)]
+    pub stream: bool,
+    /// Options of the stream.
+    #[serde(default)]
+    pub stream_options: Option<StreamOptions>,
+    /// How many answers are asked for; only one is served.
+    #[serde(default)]
+    pub n: Option<u64>,
+}
+
+/// Options of a stream.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+pub struct StreamOptions {
+    /// Whether the last chunk says what the answer took.
+    #[serde(default)]
+    pub include_usage: bool,
+}
+
+/// A field of a request that can't be taken.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+#[display("{field}: {problem}")]
+pub struct FieldProblem {
+    /// The field.
+    pub field: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+impl FieldProblem {
+    fn new<F, P>(field: F, problem: P) -> Self
+    where
+        F: Into<String>,
+        P: Into<String>,
+    {
+        Self {
+            field: field.into(),
+            problem: problem.into(),
+        }
+    }
+}
+
+impl ChatRequest {
+    /// Reads and checks a body.
+    ///
+    /// # Errors
+    ///
+    /// Names the field that can't be taken.
+    pub fn parse(body: &[u8]) -> Result<Self, FieldProblem> {
+        let value: Value = serde_json::from_slice(body)
+            .map_err(|error| FieldProblem::new("body", error.to_string()))?;
+        for field in ["model", "messages"] {
+            if value.get(field).is_none() {
+                return Err(FieldProblem::new(field, "is missing"));
+            }
+        }
+        if !value["model"].is_string() {
+            return Err(FieldProblem::new("model", "must be a string"));
+        }
+        let request: Self = serde_json::from_value(value)
+            .map_err(|error| FieldProblem::new("body", error.to_string()))?;
+        if request.n.is_some_and(|n| n != 1) {
+            return Err(FieldProblem::new("n", "must be 1"));
+        }
+        if request.max_tokens == Some(0) {
+            return Err(FieldProblem::new("max_tokens", "must be 1 or more"));
+        }
+        request.levels()?;
+        Ok(request)
+    }
+
+    /// The texts of the messages, in order.
+    ///
+    /// # Errors
+    ///
+    /// Names the message that can't be taken.
+    pub fn levels(&self) -> Result<Vec<Bytes>, FieldProblem> {
+        let messages = self
+            .messages
+            .as_array()
+            .filter(|messages| !messages.is_empty())
+            .ok_or_else(|| FieldProblem::new("messages", "must be a list with an entry"))?;
+        messages
+            .iter()
+            .enumerate()
+            .map(|(at, message)| {
+                text_of(&message["content"]).ok_or_else(|| {
+                    FieldProblem::new(format!("messages[{at}].content"), "must be text")
+                })
+            })
+            .collect()
+    }
+
+    /// The longest answer in tokens: as asked for, but no more than `most`.
+    #[must_use]
+    pub fn answer_limit(&self, most: Tokens) -> Tokens {
+        let asked = self
+            .max_completion_tokens
+            .or(self.max_tokens)
+            .map_or(most, Tokens);
+        asked.min(most)
+    }
+}
+
+fn text_of(content: &Value) -> Option<Bytes> {
+    if let Some(text) = content.as_str() {
+        return Some(Bytes::copy_from_slice(text.as_bytes()));
+    }
+    let parts: Option<Vec<&str>> = content
+        .as_array()?
+        .iter()
+        .map(|part| part["text"].as_str())
+        .collect();
+    Some(Bytes::from(parts?.concat()))
+}
+
+/// The parts that all chunks and the whole answer of one request share.
+#[derive(Clone, Debug)]
+pub struct AnswerHead {
+    /// The id of the answer.
+    pub id: String,
+    /// The name of the class.
+    pub class: String,
+    /// When it was made, in seconds since the Unix epoch.
+    pub created_s: u64,
+}
+
+impl AnswerHead {
+    fn chunk(&self, choices: &Value) -> Value {
+        json!({
+            "id": self.id,
+            "object": "chat.completion.chunk",
+            "created": self.created_s,
+            "model": self.class,
+            "choices": choices,
+        })
+    }
+
+    /// The first chunk, which gives the role.
+    #[must_use]
+    pub fn role_chunk(&self) -> Value {
+        let delta = json!({ "role": "assistant", "content": "" });
+        self.chunk(&json!([{ "index": 0, "delta": delta, "finish_reason": null }]))
+    }
+
+    /// A chunk of text.
+    #[must_use]
+    pub fn text_chunk(&self, text: &str) -> Value {
+        let delta = json!({ "content": text });
+        self.chunk(&json!([{ "index": 0, "delta": delta, "finish_reason": null }]))
+    }
+
+    /// The chunk that ends a whole answer.
+    #[must_use]
+    pub fn end_chunk(&self) -> Value {
+        self.chunk(&json!([{ "index": 0, "delta": {}, "finish_reason": "stop" }]))
+    }
+
+    /// The chunk that says what the answer took.
+    #[must_use]
+    pub fn usage_chunk(&self, usage: &Usage) -> Value {
+        let mut chunk = self.chunk(&json!([]));
+        chunk["usage"] = usage_value(usage);
+        chunk
+    }
+
+    /// A whole answer.
+    #[must_use]
+    pub fn whole(&self, text: &str, usage: &Usage) -> Value {
+        let message = json!({ "role": "assistant", "content": text });
+        json!({
+            "id": self.id,
+            "object": "chat.completion",
+            "created": self.created_s,
+            "model": self.class,
+            "choices": [{ "index": 0, "message": message, "finish_reason": "stop" }],
+            "usage": usage_value(usage),
+        })
+    }
+}
+
+fn usage_value(usage: &Usage) -> Value {
+    json!({
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.answer_tokens,
+        "total_tokens": usage.prompt_tokens + usage.answer_tokens,
+        "prompt_tokens_details": { "cached_tokens": usage.cached_tokens },
+        "cost_microcredits": usage.cost_microcredits,
+        "first_token_ms": usage.first_token_ms,
+        "attempts": usage.attempts,
+    })
+}
+
+/// The error object of a refusal.
+#[must_use]
+pub fn refusal_body(refusal: &Refusal) -> Value {
+    error_body(
+        &refusal.to_string(),
+        error_type(refusal.cause),
+        &code(refusal.cause),
+        None,
+    )
+}
+
+/// The error object of a field that can't be taken.
+#[must_use]
+pub fn field_body(problem: &FieldProblem) -> Value {
+    error_body(
+        &problem.to_string(),
+        "invalid_request_error",
+        "bad_request",
+        Some(&problem.field),
+    )
+}
+
+/// An error object.
+#[must_use]
+pub fn error_body(message: &str, kind: &str, code: &str, param: Option<&str>) -> Value {
+    json!({ "error": { "message": message, "type": kind, "code": code, "param": param } })
+}
+
+fn code(cause: Cause) -> String {
+    serde_json::to_value(cause)
+        .ok()
+        .and_then(|code| code.as_str().map(str::to_owned))
+        .unwrap_or_default()
+}
+
+fn error_type(cause: Cause) -> &'static str {
+    match cause {
+        Cause::Unknown | Cause::BadRequest | Cause::KeyMismatch => "invalid_request_error",
+        Cause::OverShare => "rate_limit_error",
+        Cause::NoCredits => "insufficient_quota",
+        _ => "server_error",
+    }
+}
+
+/// The HTTP status of a refusal.
+#[must_use]
+pub fn status_of(cause: Cause) -> u16 {
+    match cause {
+        Cause::Unknown => 404,
+        Cause::BadRequest => 400,
+        Cause::OverShare | Cause::NoCredits => 429,
+        Cause::KeyInUse => 409,
+        Cause::KeyMismatch => 422,
+        Cause::BackendFailed => 502,
+        Cause::NoWorker
+        | Cause::Overload
+        | Cause::TableUnavailable
+        | Cause::ShuttingDown
+        | Cause::NoConfiguration
+        | Cause::TooManyRequests => 503,
+    }
+}
+
+/// The value of the `X-Verdict` header.
+#[must_use]
+pub const fn verdict_header(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::NotRun => "not-run",
+        Verdict::MayHaveRun => "may-have-run",
+    }
+}
--- /dev/null
+++ b/src/operators.rs
@@ -0,0 +1,93 @@
+//! The operators' side of a process: health, readiness, metrics, status.
+
+use {
+    crate::driver::Driver,
+    cactusspur_core::{Liveness, Worker},
+    metrics_exporter_prometheus::PrometheusHandle,
+    ntex::web::{self, HttpResponse, types::State},
+    serde_json::{Value, json},
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+/// What the handlers share.
+#[derive(Clone)]
+pub struct OperatorsState {
+    /// The driver.
+    pub driver: Arc<Driver>,
+    /// The collected metrics.
+    pub metrics: Option<PrometheusHandle>,
+    /// Whether the process is shutting down.
+    pub draining: Arc<AtomicBool>,
+    /// The VM's name.
+    pub name: String,
+    /// The failure domain's name.
+    pub failure_domain: String,
+}
+
+/// Adds the operators' routes.
+pub fn configure(config: &mut web::ServiceConfig) {
+    config
+        .route("/health", web::get().to(health))
+        .route("/ready", web::get().to(ready))
+        .route("/metrics", web::get().to(metrics))
+        .route("/status", web::get().to(status));
+}
+
+async fn health() -> HttpResponse {
+    HttpResponse::Ok().body("alive\n")
+}
+
+async fn ready(state: State<OperatorsState>) -> HttpResponse {
+    let configured = state.driver.inspect(|core| core.generation().0 > 0);
+    if configured && !state.draining.load(Ordering::Relaxed) {
+        return HttpResponse::Ok().body("ready\n");
+    }
+    HttpResponse::ServiceUnavailable().body("not ready\n")
+}
+
+async fn metrics(state: State<OperatorsState>) -> HttpResponse {
+    let Some(metrics) = &state.metrics else {
+        return HttpResponse::NotFound().finish();
+    };
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(metrics.render())
+}
+
+async fn status(state: State<OperatorsState>) -> HttpResponse {
+    let draining = state.draining.load(Ordering::Relaxed);
+    let status = state.driver.inspect(|core| {
+        let workers: Vec<Value> = core.workers().map(worker_status).collect();
+        json!({
+            "name": state.name,
+            "failure_domain": state.failure_domain,
+            "generation": core.generation(),
+            "change_id": core.configuration().change_id,
+            "accepted_at_ms": core.configuration().accepted_at_ms,
+            "in_progress": core.in_progress(),
+            "unsettled": core.unsettled(),
+            "draining": draining,
+            "workers": workers,
+        })
+    });
+    HttpResponse::Ok().json(&status)
+}
+
+fn worker_status(worker: &Worker) -> Value {
+    let liveness = match worker.liveness {
+        Liveness::Alive => "alive",
+        Liveness::Suspected { .. } => "suspected",
+        Liveness::Dead { .. } => "dead",
+    };
+    json!({
+        "id": worker.id,
+        "liveness": liveness,
+        "leaving": worker.leaving,
+        "incarnation": worker.incarnation,
+        "in_flight": worker.in_flight,
+        "queued_tokens": worker.load.as_ref().map(|load| load.queued_tokens),
+    })
+}
--- /dev/null
+++ b/src/timer.rs
@@ -0,0 +1,78 @@
+//! A timer service: parts subscribe to it with a period and are told the time.
+
+use {
+    cactusspur_core::{DurationMs, TimeMs},
+    futures::channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded},
+    ntex::time::{Millis, sleep},
+    std::{
+        cell::RefCell,
+        rc::Rc,
+        time::{SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// The shortest period that the service keeps to.
+pub const RESOLUTION_MS: DurationMs = DurationMs(10);
+
+struct Subscription {
+    period_ms: DurationMs,
+    due_at_ms: TimeMs,
+    ticks: UnboundedSender<TimeMs>,
+}
+
+/// A running timer service. Clones are handles of the same one; it belongs to one thread.
+#[derive(Clone)]
+pub struct Timer {
+    subscriptions: Rc<RefCell<Vec<Subscription>>>,
+}
+
+impl Timer {
+    /// Starts the service on this thread's runtime.
+    #[must_use]
+    pub fn spawn() -> Self {
+        let timer = Self {
+            subscriptions: Rc::default(),
+        };
+        let subscriptions = Rc::clone(&timer.subscriptions);
+        ntex::rt::spawn(async move {
+            loop {
+                sleep(Millis(u32::try_from(RESOLUTION_MS.0).unwrap_or(u32::MAX))).await;
+                fire(&mut subscriptions.borrow_mut(), now());
+            }
+        });
+        timer
+    }
+
+    /// Tells the time every `period_ms` until the receiver is dropped. A subscriber that is late
+    /// is told once, not once for each period that it missed.
+    #[must_use]
+    pub fn subscribe(&self, period_ms: DurationMs) -> UnboundedReceiver<TimeMs> {
+        let (ticks, receiver) = unbounded();
+        let due_at_ms = now().after(period_ms);
+        self.subscriptions.borrow_mut().push(Subscription {
+            period_ms,
+            due_at_ms,
+            ticks,
+        });
+        receiver
+    }
+}
+
+fn fire(subscriptions: &mut Vec<Subscription>, now: TimeMs) {
+    subscriptions.retain_mut(|subscription| {
+        if subscription.due_at_ms > now {
+            return !subscription.ticks.is_closed();
+        }
+        subscription.due_at_ms = now.after(subscription.period_ms);
+        subscription.ticks.unbounded_send(now).is_ok()
+    });
+}
+
+/// The time by this machine's clock.
+#[must_use]
+pub fn now() -> TimeMs {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    TimeMs(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+}
