--- a/src/bin/cactusspurd.rs
+++ b/src/bin/cactusspurd.rs
@@ -9,7 +9,7 @@
 
 /// Serves callers on an entry VM until it is asked to stop.
 ///
-/// The first interrupt or termination signal starts a graceful shutdown.
+/// Prints one line with the addresses that it is bound to. The first interrupt or termination signal starts a graceful shutdown.
 #[derive(Debug, Parser)]
 #[command(version)]
 struct Arguments {
@@ -22,6 +22,7 @@
     let settings = Settings::open(&arguments.settings).change_context(DaemonError)?;
     open_log(settings.log_format);
     let daemon = Daemon::bind(settings).await?;
+    println!("{}", daemon.addresses());
     let _signal = ntex::server::signal().await;
     daemon.shut_down().await;
     Ok(())
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -29,7 +29,7 @@
     },
     std::{
         cell::RefCell,
-        net::TcpListener,
+        net::{SocketAddr, TcpListener},
         rc::Rc,
         sync::{
             Arc,
@@ -59,11 +59,22 @@
 
 impl std::error::Error for DaemonError {}
 
+/// The addresses that a daemon is bound to, with the ports that a setting of 0 got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[display("callers={callers} operators={operators}")]
+pub struct Addresses {
+    /// Where callers connect to.
+    pub callers: SocketAddr,
+    /// Where operators connect to.
+    pub operators: SocketAddr,
+}
+
 /// A running daemon.
 pub struct Daemon {
     driver: Arc<Driver>,
     draining: Arc<AtomicBool>,
     servers: Vec<Server>,
+    addresses: Addresses,
     shutdown_limit_ms: DurationMs,
 }
 
@@ -110,6 +121,10 @@
                 .state(operators_state.clone())
                 .configure(operators::configure)
         });
+        let addresses = Addresses {
+            callers: local_address(&callers_listener)?,
+            operators: local_address(&operators_listener)?,
+        };
         let servers = vec![
             callers
                 .workers(1)
@@ -124,16 +139,23 @@
                 .change_context(DaemonError)?
                 .run(),
         ];
-        tracing::info!(name = settings.name, callers = %settings.callers_address, "serving");
+        tracing::info!(name = settings.name, callers = %addresses.callers, "serving");
         let shutdown_limit_ms = DurationMs(settings.shutdown_limit_ms);
         Ok(Self {
             driver,
             draining,
             servers,
+            addresses,
             shutdown_limit_ms,
         })
     }
 
+    /// The addresses that it is bound to.
+    #[must_use]
+    pub const fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
     /// Shuts down gracefully: takes no new requests, ends those in progress, stops.
     pub async fn shut_down(self) {
         tracing::info!("shutting down");
@@ -157,7 +179,11 @@
     }
 }
 
-fn listener(address: std::net::SocketAddr) -> Result<TcpListener, Report<DaemonError>> {
+fn local_address(listener: &TcpListener) -> Result<SocketAddr, Report<DaemonError>> {
+    listener.local_addr().change_context(DaemonError)
+}
+
+fn listener(address: SocketAddr) -> Result<TcpListener, Report<DaemonError>> {
     TcpListener::bind(address)
         .change_context(DaemonError)
         .attach_with(|| format!("address {address}"))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use {
     crate::{
-        daemon::{Daemon, DaemonError},
+        daemon::{Addresses, Daemon, DaemonError},
         driver::{CallerEvent, Driver},
         platform::{Platform, PlatformError, ValueRow, WriteOutcome},
         settings::{LogFormat, Settings, SettingsError},
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,30 @@
+//! Settings are checked when they are read.
+
+use {
+    cactusspur::Settings,
+    std::path::{Path, PathBuf},
+    test_case::test_case,
+};
+
+fn fixture(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/data/settings")
+        .join(name)
+}
+
+#[test]
+fn the_example_is_accepted() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/settings.yaml");
+    let settings = Settings::open(&path).expect("the example can be used");
+    assert_eq!(settings.failure_domain, "sapporo");
+}
+
+#[test_case("short_key.yaml", "shared_key: must have 32 bytes or more")]
+#[test_case("unknown_field.yaml", "unknown field `weight`")]
+#[test_case("no_requests.yaml", "max_requests: must not be 0")]
+#[test_case("missing.yaml", "missing.yaml")]
+fn a_bad_file_is_refused_with_its_field(name: &str, message: &str) {
+    let report = Settings::open(&fixture(name)).expect_err("must be refused");
+    let text = format!("{report:?}");
+    assert!(text.contains(message), "{text}");
+}
