Accept configurations in a log of the table service; add the command line

Cause: nothing brought declarations into force; the daemon reads a head row that nobody wrote.

The head row is a copy, moved upward only, in the shape that the daemon reads. `cactusspur check|diff|apply|status|key-hash|completions` with exit codes.

Ruled out: a head row that names a change row, since an operator who dies between the two writes leaves a row that looks accepted.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,10 +5,12 @@
 
 pub mod callers;
 pub mod change;
+pub mod configuration_log;
 pub mod daemon;
 pub mod declaration_file;
 pub mod driver;
 pub mod openai;
+pub mod operator;
 pub mod operators;
 pub mod platform;
 pub mod settings;
--- /dev/null
+++ b/src/operator/status.rs
@@ -0,0 +1,100 @@
+//! `cactusspur status`.
+
+use {
+    super::{
+        EntryStatus, ExitStatus, Failure, OutputFormat, StatusArguments,
+        entry_client::{Asked, statuses},
+    },
+    serde::Serialize,
+    std::{io, net::SocketAddr},
+};
+
+#[derive(Serialize)]
+struct Answer {
+    address: SocketAddr,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    status: Option<EntryStatus>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    error: Option<String>,
+}
+
+impl From<Asked<EntryStatus>> for Answer {
+    fn from((address, asked): Asked<EntryStatus>) -> Self {
+        match asked {
+            Ok(status) => Self {
+                address,
+                status: Some(status),
+                error: None,
+            },
+            Err(failure) => Self {
+                address,
+                status: None,
+                error: Some(failure.to_string()),
+            },
+        }
+    }
+}
+
+pub(super) async fn run<W>(
+    arguments: &StatusArguments,
+    format: OutputFormat,
+    out: &mut W,
+) -> Result<ExitStatus, Failure>
+where
+    W: io::Write,
+{
+    let asked = statuses(&arguments.entries, arguments.only).await;
+    let answers: Vec<Answer> = asked.into_iter().map(Answer::from).collect();
+    format.print(out, &answers, |answers| describe(answers))?;
+    if answers.iter().any(|answer| answer.status.is_none()) {
+        return Ok(ExitStatus::Unreachable);
+    }
+    Ok(ExitStatus::Done)
+}
+
+fn describe(answers: &[Answer]) -> Vec<String> {
+    let header = row(
+        "ENTRY VM",
+        "DOMAIN",
+        "GENERATION",
+        "CONFIRMED",
+        "REQUESTS",
+        "STATE",
+    );
+    let rows = answers.iter().map(|answer| match &answer.status {
+        Some(status) => describe_entry(status),
+        None => format!("{} does not answer", answer.address),
+    });
+    std::iter::once(header).chain(rows).collect()
+}
+
+fn describe_entry(status: &EntryStatus) -> String {
+    let confirmed = match status.confirmed_ms_ago {
+        Some(age_ms) => format!("{age_ms} ms ago"),
+        None => "never".to_owned(),
+    };
+    let state = if status.draining {
+        "draining"
+    } else {
+        "serving"
+    };
+    row(
+        &status.name,
+        &status.failure_domain,
+        &status.generation.to_string(),
+        &confirmed,
+        &status.in_progress.to_string(),
+        state,
+    )
+}
+
+fn row(
+    name: &str,
+    domain: &str,
+    generation: &str,
+    confirmed: &str,
+    requests: &str,
+    state: &str,
+) -> String {
+    format!("{name:<20} {domain:<12} {generation:>10} {confirmed:>14} {requests:>9}  {state}")
+}
