Bound callers' connections and announce a shutdown before refusing

Cause: a stop refused new requests before the balancer could notice, and a slow or idle caller could hold a connection for ever. Ruled out: refusing at once with Retry-After (a rolling restart would refuse needlessly). Change: limits on headers, connections, read rates and idle time; shutdown_notice_ms; the daemon's background work in modules of its own (outbound, poller).

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,32 +5,25 @@
         callers::{self, CallersState},
         driver::Driver,
         operators::{self, OperatorsState},
+        outbound,
         platform::Platform,
+        poller,
         settings::Settings,
         telemetry,
         timer::Timer,
-        worker_link::WorkerLink,
-    },
-    cactusspur_core::{
-        AttemptId, CacheSequence, Command, Configuration, DurationMs, Event, Send, TICK_MS, Table,
-        WorkerId,
     },
+    cactusspur_core::{DurationMs, Event},
     derive_more::Display,
     error_stack::{Report, ResultExt},
-    futures::{
-        StreamExt,
-        channel::mpsc::UnboundedReceiver,
-        future::{AbortHandle, abortable},
-    },
     ntex::{
+        SharedCfg,
+        http::HttpServiceConfig,
         server::Server,
-        time::{Millis, sleep},
+        time::{Millis, Seconds, sleep},
         web::{App, HttpServer},
     },
     std::{
-        cell::RefCell,
         net::{SocketAddr, TcpListener},
-        rc::Rc,
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
@@ -38,19 +31,20 @@
     },
 };
 
-/// How often the list of VMs is read.
-const VMS_INTERVAL_MS: DurationMs = DurationMs(500);
-/// How often workers are asked for their load and the changes of their cache.
-const REPORT_INTERVAL_MS: DurationMs = DurationMs(250);
-/// How often the configuration is looked for.
-const CONFIGURATION_INTERVAL_MS: DurationMs = DurationMs(500);
 /// How often a shutdown looks whether all is done.
 const DRAIN_INTERVAL: Millis = Millis(50);
-/// How long a process that is asked to stop still answers new requests with a refusal, so that
-/// the balancer can notice.
-const DRAIN_NOTICE: Millis = Millis(500);
-/// The row that holds the configuration in force.
-const CONFIGURATION_KEY: &str = "configuration/head";
+/// Headers that one request may have.
+const MAX_HEADERS: usize = 64;
+/// Connections of operators at the most.
+const MAX_OPERATOR_CONNECTIONS: usize = 64;
+/// How long a connection may be idle between two requests.
+const KEEP_ALIVE: Seconds = Seconds(75);
+/// How long a request's head may take, and how long its body may pause.
+const FIRST_HEAD_LIMIT: Seconds = Seconds(5);
+/// How long a request may take to arrive in all.
+const READ_LIMIT: Seconds = Seconds(30);
+/// The least rate at which a request has to arrive, in bytes a second.
+const MIN_READ_RATE_BYTES_PER_S: u32 = 1_024;
 
 /// The daemon can't start.
 #[derive(Debug, Display)]
@@ -75,6 +69,7 @@
     draining: Arc<AtomicBool>,
     servers: Vec<Server>,
     addresses: Addresses,
+    shutdown_notice_ms: DurationMs,
     shutdown_limit_ms: DurationMs,
 }
 
@@ -103,11 +98,11 @@
         };
         let platform = Platform::open(settings.platform_address).await;
         let timer = Timer::spawn();
-        spawn_outbound(Arc::clone(&driver), platform.clone(), commands).await;
-        spawn_ticks(&timer, Arc::clone(&driver));
-        spawn_vms(&timer, Arc::clone(&driver), platform.clone());
-        spawn_configuration(&timer, Arc::clone(&driver), platform);
-        spawn_reports(&timer, Arc::clone(&driver)).await;
+        outbound::spawn(Arc::clone(&driver), platform.clone(), commands).await;
+        poller::spawn_ticks(&timer, Arc::clone(&driver));
+        poller::spawn_vms(&timer, Arc::clone(&driver), platform.clone());
+        poller::spawn_configuration(&timer, Arc::clone(&driver), platform);
+        poller::spawn_reports(&timer, Arc::clone(&driver)).await;
 
         let callers_listener = listener(settings.callers_address)?;
         let operators_listener = listener(settings.operators_address)?;
@@ -128,25 +123,29 @@
         let servers = vec![
             callers
                 .workers(1)
+                .maxconn(settings.max_connections)
+                .config(http_limits("callers"))
                 .disable_signals()
                 .listen(callers_listener)
                 .change_context(DaemonError)?
                 .run(),
             operators
                 .workers(1)
+                .maxconn(MAX_OPERATOR_CONNECTIONS)
+                .config(http_limits("operators"))
                 .disable_signals()
                 .listen(operators_listener)
                 .change_context(DaemonError)?
                 .run(),
         ];
         tracing::info!(name = settings.name, callers = %addresses.callers, "serving");
-        let shutdown_limit_ms = DurationMs(settings.shutdown_limit_ms);
         Ok(Self {
             driver,
             draining,
             servers,
             addresses,
-            shutdown_limit_ms,
+            shutdown_notice_ms: DurationMs(settings.shutdown_notice_ms),
+            shutdown_limit_ms: DurationMs(settings.shutdown_limit_ms),
         })
     }
 
@@ -156,12 +155,13 @@
         self.addresses
     }
 
-    /// Shuts down gracefully: takes no new requests, ends those in progress, stops.
+    /// Shuts down gracefully: tells the balancer, takes no new requests, ends those in progress,
+    /// stops.
     pub async fn shut_down(self) {
         tracing::info!("shutting down");
         self.draining.store(true, Ordering::Relaxed);
+        sleep(millis(self.shutdown_notice_ms)).await;
         self.driver.handle(Event::ShutdownStarted);
-        sleep(DRAIN_NOTICE).await;
         let mut waited_ms = DurationMs(0);
         while !self.is_idle() && waited_ms < self.shutdown_limit_ms {
             sleep(DRAIN_INTERVAL).await;
@@ -179,6 +179,21 @@
     }
 }
 
+/// The limits on what a connection may send, and how slowly.
+fn http_limits(tag: &'static str) -> SharedCfg {
+    let http = HttpServiceConfig::new()
+        .set_max_headers(MAX_HEADERS)
+        .set_keepalive(KEEP_ALIVE)
+        .set_client_timeout(FIRST_HEAD_LIMIT)
+        .set_headers_read_rate(FIRST_HEAD_LIMIT, READ_LIMIT, MIN_READ_RATE_BYTES_PER_S)
+        .set_payload_read_rate(FIRST_HEAD_LIMIT, READ_LIMIT, MIN_READ_RATE_BYTES_PER_S);
+    SharedCfg::new(tag).add(http).into()
+}
+
+fn millis(duration: DurationMs) -> Millis {
+    Millis(u32::try_from(duration.0).unwrap_or(u32::MAX))
+}
+
 fn local_address(listener: &TcpListener) -> Result<SocketAddr, Report<DaemonError>> {
     listener.local_addr().change_context(DaemonError)
 }
@@ -188,132 +203,3 @@
         .change_context(DaemonError)
         .attach_with(|| format!("address {address}"))
 }
-
-/// The attempts that are running, so that they can be dropped.
-type Running = Rc<RefCell<Table<AttemptId, AbortHandle>>>;
-
-async fn spawn_outbound(
-    driver: Arc<Driver>,
-    platform: Platform,
-    mut commands: UnboundedReceiver<Command>,
-) {
-    let link = WorkerLink::open(Arc::clone(&driver)).await;
-    let running = Running::default();
-    ntex::rt::spawn(async move {
-        while let Some(command) = commands.next().await {
-            carry_out(&driver, &platform, &link, &running, command);
-        }
-    });
-}
-
-fn carry_out(
-    driver: &Arc<Driver>,
-    platform: &Platform,
-    link: &WorkerLink,
-    running: &Running,
-    command: Command,
-) {
-    let link = link.clone();
-    match command {
-        Command::Send(send) => run_attempt(link, running, send),
-        Command::Cancel { attempt, worker } => {
-            if let Some(task) = running.borrow_mut().remove(&attempt) {
-                task.abort();
-            }
-            ntex::rt::spawn(async move { link.cancel(worker, attempt).await });
-        }
-        Command::Probe { worker } => {
-            ntex::rt::spawn(async move { link.probe(worker).await });
-        }
-        Command::Record { call, what } => {
-            let platform = platform.clone();
-            let driver = Arc::clone(driver);
-            ntex::rt::spawn(async move {
-                let answer = platform.record(&what).await;
-                driver.handle(Event::RecordAnswered { call, answer });
-            });
-        }
-        other => tracing::debug!(?other, "not carried out"),
-    }
-}
-
-fn run_attempt(link: WorkerLink, running: &Running, send: Send) {
-    let attempt = send.attempt;
-    let (task, abort) = abortable(async move { link.run(send).await });
-    running.borrow_mut().insert(attempt, abort);
-    let running = Rc::clone(running);
-    ntex::rt::spawn(async move {
-        if task.await.is_ok() {
-            running.borrow_mut().remove(&attempt);
-        }
-    });
-}
-
-fn spawn_ticks(timer: &Timer, driver: Arc<Driver>) {
-    let mut ticks = timer.subscribe(TICK_MS);
-    ntex::rt::spawn(async move {
-        while ticks.next().await.is_some() {
-            driver.handle(Event::Tick);
-        }
-    });
-}
-
-fn spawn_vms(timer: &Timer, driver: Arc<Driver>, platform: Platform) {
-    let mut ticks = timer.subscribe(VMS_INTERVAL_MS);
-    ntex::rt::spawn(async move {
-        loop {
-            match platform.vms().await {
-                Ok(list) => driver.vms(list),
-                Err(error) => tracing::debug!(?error, "the list of VMs can't be read"),
-            }
-            if ticks.next().await.is_none() {
-                return;
-            }
-        }
-    });
-}
-
-fn spawn_configuration(timer: &Timer, driver: Arc<Driver>, platform: Platform) {
-    let mut ticks = timer.subscribe(CONFIGURATION_INTERVAL_MS);
-    ntex::rt::spawn(async move {
-        loop {
-            if let Ok(Some(row)) = platform.read_row(CONFIGURATION_KEY).await {
-                match serde_json::from_value::<Configuration>(row.value) {
-                    Ok(configuration) => driver.configure(configuration),
-                    Err(error) => tracing::warn!(%error, "the configuration can't be read"),
-                }
-            }
-            if ticks.next().await.is_none() {
-                return;
-            }
-        }
-    });
-}
-
-async fn spawn_reports(timer: &Timer, driver: Arc<Driver>) {
-    let link = WorkerLink::open(Arc::clone(&driver)).await;
-    let mut ticks = timer.subscribe(REPORT_INTERVAL_MS);
-    ntex::rt::spawn(async move {
-        let positions: Rc<RefCell<Table<WorkerId, CacheSequence>>> = Rc::default();
-        while ticks.next().await.is_some() {
-            let workers: Vec<WorkerId> =
-                driver.inspect(|core| core.workers().map(|worker| worker.id).collect());
-            for worker in workers {
-                let link = link.clone();
-                let positions = Rc::clone(&positions);
-                ntex::rt::spawn(async move { report(&link, &positions, worker).await });
-            }
-        }
-    });
-}
-
-async fn report(
-    link: &WorkerLink,
-    positions: &RefCell<Table<WorkerId, CacheSequence>>,
-    worker: WorkerId,
-) {
-    link.poll_load(worker).await;
-    let after = positions.borrow().get(&worker).copied().unwrap_or_default();
-    let next = link.poll_cache(worker, after).await;
-    positions.borrow_mut().insert(worker, next);
-}
--- /dev/null
+++ b/src/outbound.rs
@@ -0,0 +1,73 @@
+//! Carries out the core's commands that need connections to other processes.
+
+use {
+    crate::{driver::Driver, platform::Platform, worker_link::WorkerLink},
+    cactusspur_core::{AttemptId, Command, Event, Send, Table},
+    futures::{
+        StreamExt,
+        channel::mpsc::UnboundedReceiver,
+        future::{AbortHandle, abortable},
+    },
+    std::{cell::RefCell, rc::Rc, sync::Arc},
+};
+
+/// The attempts that are running, so that they can be dropped.
+type Running = Rc<RefCell<Table<AttemptId, AbortHandle>>>;
+
+/// Starts to carry commands out on this thread's runtime, until the sender is dropped.
+pub async fn spawn(
+    driver: Arc<Driver>,
+    platform: Platform,
+    mut commands: UnboundedReceiver<Command>,
+) {
+    let link = WorkerLink::open(Arc::clone(&driver)).await;
+    let running = Running::default();
+    ntex::rt::spawn(async move {
+        while let Some(command) = commands.next().await {
+            carry_out(&driver, &platform, &link, &running, command);
+        }
+    });
+}
+
+fn carry_out(
+    driver: &Arc<Driver>,
+    platform: &Platform,
+    link: &WorkerLink,
+    running: &Running,
+    command: Command,
+) {
+    let link = link.clone();
+    match command {
+        Command::Send(send) => run_attempt(link, running, send),
+        Command::Cancel { attempt, worker } => {
+            if let Some(task) = running.borrow_mut().remove(&attempt) {
+                task.abort();
+            }
+            ntex::rt::spawn(async move { link.cancel(worker, attempt).await });
+        }
+        Command::Probe { worker } => {
+            ntex::rt::spawn(async move { link.probe(worker).await });
+        }
+        Command::Record { call, what } => {
+            let platform = platform.clone();
+            let driver = Arc::clone(driver);
+            ntex::rt::spawn(async move {
+                let answer = platform.record(&what).await;
+                driver.handle(Event::RecordAnswered { call, answer });
+            });
+        }
+        other => tracing::debug!(?other, "not carried out"),
+    }
+}
+
+fn run_attempt(link: WorkerLink, running: &Running, send: Send) {
+    let attempt = send.attempt;
+    let (task, abort) = abortable(async move { link.run(send).await });
+    running.borrow_mut().insert(attempt, abort);
+    let running = Rc::clone(running);
+    ntex::rt::spawn(async move {
+        if task.await.is_ok() {
+            running.borrow_mut().remove(&attempt);
+        }
+    });
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -53,9 +53,16 @@
     /// Requests in progress at the most.
     #[serde(default = "default_max_requests")]
     pub max_requests: usize,
+    /// Callers' connections at the most.
+    #[serde(default = "default_max_connections")]
+    pub max_connections: usize,
     /// The largest body of a caller's request, in bytes.
     #[serde(default = "default_max_body_bytes")]
     pub max_body_bytes: usize,
+    /// How long a process that was asked to stop still takes new requests, while its readiness
+    /// tells the balancer to go elsewhere, in milliseconds.
+    #[serde(default = "default_shutdown_notice_ms")]
+    pub shutdown_notice_ms: u64,
     /// How long a graceful shutdown may take, in milliseconds.
     #[serde(default = "default_shutdown_limit_ms")]
     pub shutdown_limit_ms: u64,
@@ -68,10 +75,18 @@
     4_096
 }
 
+const fn default_max_connections() -> usize {
+    8_192
+}
+
 const fn default_max_body_bytes() -> usize {
     4 * 1_024 * 1_024
 }
 
+const fn default_shutdown_notice_ms() -> u64 {
+    2_000
+}
+
 const fn default_shutdown_limit_ms() -> u64 {
     60_000
 }
@@ -113,6 +128,7 @@
                 "shared_key: must have 32 bytes or more",
             ),
             (self.max_requests == 0, "max_requests: must not be 0"),
+            (self.max_connections == 0, "max_connections: must not be 0"),
             (self.max_body_bytes == 0, "max_body_bytes: must not be 0"),
         ];
         match problem.iter().find(|problem| problem.0) {
