--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,9 @@
 //! workers, the platform, operators.
 
 pub mod callers;
+pub mod change;
 pub mod daemon;
+pub mod declaration_file;
 pub mod driver;
 pub mod openai;
 pub mod operators;
