--- a/src/bin/cactusspurd.rs
+++ b/src/bin/cactusspurd.rs
@@ -4,7 +4,9 @@
     cactusspur::{Daemon, DaemonError, Settings, open_log},
     clap::Parser,
     error_stack::{Report, ResultExt},
-    std::{path::PathBuf, process::ExitCode},
+    futures::future::select,
+    std::{io, path::PathBuf, pin::pin, process::ExitCode},
+    tokio::signal::unix::{SignalKind, signal},
 };
 
 /// Serves callers on an entry VM until it is asked to stop.
@@ -23,11 +25,19 @@
     open_log(settings.log_format);
     let daemon = Daemon::bind(settings).await?;
     println!("{}", daemon.addresses());
-    let _signal = ntex::server::signal().await;
+    stop_signal().await.change_context(DaemonError)?;
     daemon.shut_down().await;
     Ok(())
 }
 
+/// Waits for a signal to stop.
+async fn stop_signal() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    select(pin!(terminate.recv()), pin!(interrupt.recv())).await;
+    Ok(())
+}
+
 #[ntex::main]
 async fn main() -> ExitCode {
     match run(Arguments::parse()).await {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod engine;
 pub mod fault;
+pub mod load;
 pub mod log;
 pub mod plain;
 pub mod platform;
