--- a/src/poller.rs
+++ b/src/poller.rs
@@ -1,8 +1,15 @@
 //! What a process asks for again and again: the list of VMs, the configuration, workers' reports.
 
 use {
-    crate::{driver::Driver, platform::Platform, timer::Timer, worker_link::WorkerLink},
-    cactusspur_core::{CacheSequence, Configuration, DurationMs, Event, TICK_MS, Table, WorkerId},
+    crate::{
+        configuration_log::{ConfigurationLog, LogError},
+        driver::Driver,
+        platform::Platform,
+        timer::Timer,
+        worker_link::WorkerLink,
+    },
+    cactusspur_core::{CacheSequence, DurationMs, Event, Generation, TICK_MS, Table, WorkerId},
+    error_stack::Report,
     futures::StreamExt,
     std::{cell::RefCell, rc::Rc, sync::Arc},
 };
@@ -13,8 +20,6 @@
 const REPORT_INTERVAL_MS: DurationMs = DurationMs(250);
 /// How often the configuration is looked for.
 const CONFIGURATION_INTERVAL_MS: DurationMs = DurationMs(500);
-/// The row that holds the configuration in force.
-const CONFIGURATION_KEY: &str = "configuration/head";
 
 /// Ticks the core.
 pub fn spawn_ticks(timer: &Timer, driver: Arc<Driver>) {
@@ -46,12 +51,10 @@
 pub fn spawn_configuration(timer: &Timer, driver: Arc<Driver>, platform: Platform) {
     let mut ticks = timer.subscribe(CONFIGURATION_INTERVAL_MS);
     ntex::rt::spawn(async move {
+        let log = ConfigurationLog::open(platform);
         loop {
-            if let Ok(Some(row)) = platform.read_row(CONFIGURATION_KEY).await {
-                match serde_json::from_value::<Configuration>(row.value) {
-                    Ok(configuration) => driver.configure(configuration),
-                    Err(error) => tracing::warn!(%error, "the configuration can't be read"),
-                }
+            if let Err(report) = catch_up(&log, &driver).await {
+                tracing::debug!(?report, "the configuration can't be read");
             }
             if ticks.next().await.is_none() {
                 return;
@@ -60,6 +63,23 @@
     });
 }
 
+/// Takes every configuration after the one in force into force.
+async fn catch_up(
+    log: &ConfigurationLog<Platform>,
+    driver: &Driver,
+) -> Result<(), Report<LogError>> {
+    let mut known = driver.inspect(|core| core.configuration().clone());
+    if known.generation == Generation(0) {
+        known = log.newest().await?;
+        driver.configure(known.clone());
+    }
+    while let Some(next) = log.next(&known).await? {
+        known = next;
+        driver.configure(known.clone());
+    }
+    Ok(())
+}
+
 /// Asks workers for their reports.
 pub async fn spawn_reports(timer: &Timer, driver: Arc<Driver>) {
     let link = WorkerLink::open(Arc::clone(&driver)).await;
