Record a time line in causal order and show it merged

Cause: what several processes did to one request could only be pieced together from logs whose clocks differ.

Change: src/timeline.rs stamps what goes in and out of the decision core with hybrid logical times in a bounded buffer; `cactusspur timeline` merges the parts of all entry VMs by request, class or worker.

Ruled out: vector clocks, whose size grows with the processes; a peer's stamp more than a minute ahead is not taken over, since one wrong clock would move all of them.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod poller;
 pub mod settings;
 pub mod telemetry;
+pub mod timeline;
 pub mod timer;
 pub mod worker_link;
 
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -8,6 +8,7 @@
 mod key_hash;
 mod output;
 mod status;
+mod timeline;
 
 pub use {
     entry_client::{EntryStatus, MemberStatus},
@@ -15,6 +16,7 @@
 };
 
 use {
+    crate::timeline::RequestName,
     clap::{Args, CommandFactory, Parser, Subcommand},
     clap_complete::Shell,
     std::{io, net::SocketAddr, path::PathBuf},
@@ -63,6 +65,11 @@
     /// Shows the state of the entry VMs.
     #[command(after_help = "Example:\n  cactusspur status --entry 10.0.0.11:8082")]
     Status(StatusArguments),
+    /// Shows what happened on all entry VMs, in an order that respects causes.
+    #[command(after_help = "Examples:\n  \
+        cactusspur timeline --entry 10.0.0.11:8082 --class stone-hold\n  \
+        cactusspur timeline --entry 10.0.0.11:8082 --request chatcmpl-00f1c7a52b6e9d34-17")]
+    Timeline(TimelineArguments),
     /// Prints the hash of an API key that is read from the standard input.
     #[command(after_help = "Example:\n  printf %s \"$API_KEY\" | cactusspur key-hash")]
     KeyHash,
@@ -122,6 +129,27 @@
     pub only: bool,
 }
 
+/// The arguments of `timeline`.
+#[derive(Debug, Args)]
+pub struct TimelineArguments {
+    /// The operators' address of an entry VM; may be given several times. Other entry VMs that
+    /// it knows are asked as well.
+    #[arg(long = "entry", value_name = "IP:PORT", required = true)]
+    pub entries: Vec<SocketAddr>,
+    /// Ask only the entry VMs that are given.
+    #[arg(long)]
+    pub only: bool,
+    /// Only events of this request: the id of its answer.
+    #[arg(long, value_name = "ID")]
+    pub request: Option<RequestName>,
+    /// Only events of this class.
+    #[arg(long, value_name = "NAME")]
+    pub class: Option<String>,
+    /// Only events of this worker, by its VM's name.
+    #[arg(long, value_name = "NAME")]
+    pub worker: Option<String>,
+}
+
 /// Carries a command out, writes its result to `out`, and says how it ended.
 ///
 /// # Errors
@@ -137,6 +165,7 @@
         Command::Diff(arguments) => diff::run(&arguments, format, out).await,
         Command::Apply(arguments) => apply::run(&arguments, format, out).await,
         Command::Status(arguments) => status::run(&arguments, format, out).await,
+        Command::Timeline(arguments) => timeline::run(&arguments, format, out).await,
         Command::KeyHash => key_hash::run(&mut io::stdin(), format, out),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Arguments::command(), "cactusspur", out);
