Keep beliefs about caches in bounded shards, corrected by answers

Cause: one sorted vector a worker grew without bound, an insertion moved all of it, a gap in the cache events was asked about but nothing took the answer in, repeated changes were applied twice, and nothing ever expired.

Ruled out: a map from piece to workers (house style, and no bound on a hot piece); forgetting by scanning all beliefs when a worker restarts (a life number that is no longer listed does it at once).

No timing taken yet.

--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -136,6 +136,7 @@
             } => liveness::probed(self, worker, incarnation),
             Event::Load(report) => liveness::load(self, report),
             Event::Cache(report) => liveness::cache(self, &report),
+            Event::CacheSnapshot(snapshot) => liveness::cache_snapshot(self, &snapshot),
             Event::Vms(list) => liveness::listed(self, &list),
             Event::Configured(accepted) => configuration::accept(self, accepted),
             Event::ShutdownStarted => self.shutting_down = true,
--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -92,6 +92,9 @@
     /// A worker has reported changes of its cache.
     #[from]
     Cache(CacheReport),
+    /// A worker's whole cache was read.
+    #[from]
+    CacheSnapshot(CacheSnapshot),
     /// The platform's list of VMs was read.
     #[from]
     Vms(VmList),
@@ -176,6 +179,19 @@
     pub changes: Vec<CacheChange>,
 }
 
+/// A worker's whole cache, read since changes of it were missing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheSnapshot {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// The number of the first change that it doesn't show.
+    pub next_sequence: CacheSequence,
+    /// The cached pieces.
+    pub pieces: Vec<PieceHash>,
+}
+
 /// One change of a worker's cache.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CacheChange {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cache;
 pub mod command;
 pub mod core;
+pub mod decay;
 pub mod declaration;
 pub mod event;
 pub mod id;
@@ -23,8 +24,8 @@
     core::{Core, CoreSettings, TICK_MS},
     declaration::{Class, Configuration, CreditGrant, Customer, Declarations, Model, ServedBy},
     event::{
-        Arrival, CacheChange, CacheReport, Event, Failure, LoadReport, RETRY_AFTER_MS, Vm, VmList,
-        VmRole,
+        Arrival, CacheChange, CacheReport, CacheSnapshot, Event, Failure, LoadReport,
+        RETRY_AFTER_MS, Vm, VmList, VmRole,
     },
     id::{
         AttemptId, CacheSequence, ClassId, CustomerId, DomainId, EntryId, FencingNumber,
--- a/core/src/system/liveness.rs
+++ b/core/src/system/liveness.rs
@@ -3,8 +3,8 @@
 use crate::{
     command::Command,
     core::Core,
-    event::{CacheChange, CacheReport, LoadReport, VmList, VmRole},
-    id::{CacheSequence, Incarnation, WorkerId},
+    event::{CacheReport, CacheSnapshot, LoadReport, VmList, VmRole},
+    id::{Incarnation, WorkerId},
     unit::DurationMs,
     worker::{Liveness, Worker},
 };
@@ -49,36 +49,36 @@
     {
         worker.sent.pop_front();
     }
+    core.cache
+        .set_capacity(id, report.cache_pieces, report.prefill_rate);
     worker.load = Some(report);
 }
 
 /// Takes cache events in; asks for the whole cache when some are missing.
 pub fn cache(core: &mut Core, report: &CacheReport) {
-    let known = core
-        .workers
-        .get(&report.worker)
-        .and_then(|worker| worker.incarnation);
-    if known != Some(report.incarnation) {
+    if !is_life_of(core, report.worker, report.incarnation) {
         return;
     }
-    core.cache
-        .set_incarnation(report.worker, report.incarnation);
-    let next = CacheSequence(report.first_sequence.0 + report.changes.len() as u64);
-    let expected = core.cache.advance(report.worker, next).unwrap_or_default();
-    if report.first_sequence > expected {
+    if let Some(after) = core.cache.report(report, core.now) {
         core.emit(Command::Resynchronise {
             worker: report.worker,
-            after: expected,
+            after,
         });
     }
-    for change in &report.changes {
-        match *change {
-            CacheChange::Stored(piece) => core.cache.stored(report.worker, piece),
-            CacheChange::Evicted(piece) => core.cache.evicted(report.worker, piece),
-        }
+}
+
+/// Takes a worker's whole cache in.
+pub fn cache_snapshot(core: &mut Core, snapshot: &CacheSnapshot) {
+    if is_life_of(core, snapshot.worker, snapshot.incarnation) {
+        core.cache.replace(snapshot, core.now);
     }
 }
 
+fn is_life_of(core: &Core, worker: WorkerId, incarnation: Incarnation) -> bool {
+    let known = core.workers.get(&worker);
+    known.and_then(|worker| worker.incarnation) == Some(incarnation)
+}
+
 /// Takes the result of a probe in.
 pub fn probed(core: &mut Core, id: WorkerId, incarnation: Option<Incarnation>) {
     let probe_at_ms = core.now.after(PROBE_INTERVAL_MS);
--- a/core/src/system/placement.rs
+++ b/core/src/system/placement.rs
@@ -121,7 +121,7 @@
     chain: &PrefixChain,
     prompt_tokens: Tokens,
 ) -> Placement {
-    let cached = core.cache.cached(worker.id, chain);
+    let cached = core.cache.cached(worker.id, chain, core.now);
     let uncached_tokens = prompt_tokens.saturating_sub(cached);
     let reported = worker
         .load
