Place by predicted first token, recomputation and a home that grows

Cause: placement looked at every worker for every request, took a stale report for the truth, sent a prefix that all knew to one worker however busy its level was, went on preferring a worker that failed quickly, refused all work during a roll-out of weights, and learned nothing from its answers.

Ruled out: scoring all workers (grows with them); one home a prefix (a hot level piles up on it); homes by the prefix alone without a group (a customer's first level would be computed by as many workers as it has sites).

Change: workers that offer the same stand on a hashed ring; up to 32 are all compared, beyond that the home's places, the holders and a few random ones. A level's home grows with the work it brings and shrinks again. Predictions replay own sends on the reported queue, count waiting for a slot, and are corrected by what was seen, separately for delays and ratios; corrections fade with reports. Failures back off. Kept pieces are imported where that is quicker, recurring home levels exported once. Weights that some worker has serve until one has the declared ones.

Failed try: one correcting ratio for short and long predictions alike made a short prediction that was late multiply the long ones fourfold; hence the two. Failed try: weighing recomputation fourfold inside a hot level's home as well kept all its work on the first holder (the test of the spread failed).

No timing taken yet. Conclusion: the choice no longer depends on how many workers there are.

--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -10,14 +10,17 @@
         cache::CacheIndex,
         command::{Command, Usage},
         declaration::{Class, Configuration, Customer},
+        demand::LevelDemand,
         event::Event,
         id::{
             AttemptId, ClassId, CustomerId, DomainId, EntryId, Generation, ModelId, RequestId,
             WeightsVersion, WorkerId,
         },
+        kept::KeptPieces,
         record::{CallId, RecordCall},
         request::Request,
-        system::{configuration, liveness, once, request, stream},
+        ring::Offers,
+        system::{configuration, liveness, once, placement, request, stream},
         table::Table,
         unit::{DurationMs, TimeMs},
         verdict::{Cause, Refusal, Verdict},
@@ -57,6 +60,10 @@
     pub(crate) once: Table<AttemptId, once::OnceUse>,
     pub(crate) calls: Table<CallId, AttemptId>,
     pub(crate) cache: CacheIndex,
+    pub(crate) kept: KeptPieces,
+    pub(crate) offers: Offers,
+    pub(crate) demand: LevelDemand,
+    pub(crate) entries: usize,
     pub(crate) shutting_down: bool,
     next_attempt: u64,
     next_call: u64,
@@ -80,6 +87,10 @@
             once: Table::default(),
             calls: Table::default(),
             cache: CacheIndex::default(),
+            kept: KeptPieces::default(),
+            offers: Offers::default(),
+            demand: LevelDemand::default(),
+            entries: 1,
             shutting_down: false,
             next_attempt: 0,
             next_call: 0,
@@ -235,6 +246,7 @@
             return;
         };
         self.attempts.remove(&attempt.id);
+        placement::ended(self, &attempt);
         if let Some(worker) = self.workers.get_mut(&attempt.worker) {
             worker.in_flight = worker.in_flight.saturating_sub(1);
         }
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -3,7 +3,7 @@
 use crate::{
     event::Arrival,
     id::{AttemptId, ClassId, CustomerId, Incarnation, OnceKey, RequestId, WorkerId},
-    prefix::PrefixScope,
+    prefix::{PrefixChain, PrefixScope},
     unit::{DurationMs, TimeMs, Tokens},
 };
 
@@ -67,8 +67,31 @@
     pub predicted_ms: DurationMs,
     /// Prompt tokens that were expected to be computed.
     pub uncached_tokens: Tokens,
+    /// What was expected of it.
+    pub expected: Expectation,
     /// Whether any piece has come.
     pub streaming: bool,
     /// Whether the worker is being probed because of it.
     pub probing: bool,
 }
+
+/// What was expected of an attempt when it was sent, to learn from how it turns out.
+#[derive(Clone, Debug, Default)]
+pub struct Expectation {
+    /// The prompt's pieces; none for a plain service.
+    pub chain: PrefixChain,
+    /// The first pieces that the worker was believed to have cached.
+    pub cached_pieces: usize,
+    /// The time since the least recent use of one of them.
+    pub cache_age_ms: DurationMs,
+    /// The first pieces that it was to have after its import; zero without one.
+    pub imported_pieces: usize,
+    /// The first pieces that it was to export; zero without an export.
+    pub exported_pieces: usize,
+    /// The first token's predicted time from sending, before its correction.
+    pub uncorrected_ms: DurationMs,
+    /// The part of the predicted time that is its own work, not waiting.
+    pub work_ms: DurationMs,
+    /// When the first piece of the answer came.
+    pub streaming_since_ms: Option<TimeMs>,
+}
--- a/core/src/system/liveness.rs
+++ b/core/src/system/liveness.rs
@@ -1,12 +1,15 @@
 //! Keeps the table of workers: the list of VMs, load reports, cache events, probes.
 
-use crate::{
-    command::Command,
-    core::Core,
-    event::{CacheReport, CacheSnapshot, LoadReport, VmList, VmRole},
-    id::{Incarnation, WorkerId},
-    unit::DurationMs,
-    worker::{Liveness, Worker},
+use {
+    super::placement,
+    crate::{
+        command::Command,
+        core::Core,
+        event::{CacheReport, CacheSnapshot, LoadReport, VmList, VmRole},
+        id::{Incarnation, WorkerId},
+        unit::DurationMs,
+        worker::{Liveness, Worker},
+    },
 };
 
 /// How long a dead worker is left alone before it is asked again.
@@ -26,6 +29,7 @@
     for (id, worker) in core.workers.iter_mut() {
         worker.leaving |= !listed(id);
     }
+    placement::listed(core, list);
 }
 
 /// Takes a load report in.
@@ -42,16 +46,11 @@
     {
         return;
     }
-    while worker
-        .sent
-        .front()
-        .is_some_and(|sent| sent.0 <= report.observed_at_ms)
-    {
-        worker.sent.pop_front();
-    }
     core.cache
         .set_capacity(id, report.cache_pieces, report.prefill_rate);
-    worker.load = Some(report);
+    worker.note_load(report, core.now);
+    let in_own_domain = worker.domain == core.settings.domain;
+    core.offers.set(id, in_own_domain, worker.offers());
 }
 
 /// Takes cache events in; asks for the whole cache when some are missing.
@@ -113,7 +112,7 @@
         return;
     }
     worker.incarnation = Some(incarnation);
-    worker.sent.clear();
+    worker.restart();
     core.cache.set_incarnation(id, incarnation);
 }
 
--- a/core/src/system/request.rs
+++ b/core/src/system/request.rs
@@ -141,6 +141,7 @@
         heard_at_ms: now,
         predicted_ms: placed.predicted_ms,
         uncached_tokens: placed.uncached_tokens,
+        expected: placed.expected,
         streaming: false,
         probing: false,
     });
@@ -148,8 +149,9 @@
     core.attempts.insert(attempt, id);
     if let Some(worker) = core.workers.get_mut(&placed.worker) {
         worker.in_flight += 1;
-        worker.sent.push_back((now, placed.uncached_tokens));
+        worker.note_sent(placed.uncached_tokens, now);
     }
+    placement::sent(core, id);
     core.emit(Send {
         request: id,
         attempt,
@@ -169,6 +171,7 @@
     let Some(id) = core.attempts.get(&attempt).copied() else {
         return;
     };
+    placement::answered(core, id);
     core.forget(id);
     core.emit(Command::Answer {
         request: id,
@@ -191,6 +194,7 @@
     request.failed_on.extend(worker);
     let once = request.once.is_some();
     let tries_left = request.attempts_sent < MAX_ATTEMPTS;
+    placement::failed(core, id);
     core.end_attempt(id);
     if let Some(worker) = worker
         && failure != Failure::Refused
--- a/core/src/system/stream.rs
+++ b/core/src/system/stream.rs
@@ -1,7 +1,7 @@
 //! Puts a model's answer together from the pieces of its attempts, in order and once.
 
 use {
-    super::{liveness, request},
+    super::{liveness, placement, request},
     crate::{
         command::{Command, Usage},
         core::Core,
@@ -33,7 +33,7 @@
     cached_tokens: Tokens,
 ) {
     let now = core.now;
-    let Some((request, _)) = live(core, attempt) else {
+    let Some((request, id)) = live(core, attempt) else {
         return;
     };
     if request.attempts_sent == 1 {
@@ -45,6 +45,7 @@
     attempt.incarnation = Some(incarnation);
     let worker = attempt.worker;
     liveness::seen_alive(core, worker, incarnation);
+    placement::accepted(core, id, cached_tokens);
 }
 
 /// Takes a piece in. Pieces of other attempts, and what was delivered already, are dropped.
@@ -61,6 +62,10 @@
     if let Some(attempt) = heard(request, now) {
         attempt.streaming = true;
     }
+    placement::first_piece(core, id);
+    let Some((request, _)) = live(core, attempt) else {
+        return;
+    };
     let known = usize::try_from(delivered - offset_bytes).unwrap_or(usize::MAX);
     if known >= text.len() {
         return;
@@ -96,6 +101,7 @@
         cost_microcredits: MicroCredits(0),
         attempts: request.attempts_sent,
     };
+    placement::answered(core, id);
     core.complete(id, usage);
 }
 
--- a/core/src/unit.rs
+++ b/core/src/unit.rs
@@ -72,4 +72,10 @@
     pub fn time_for(self, tokens: Tokens) -> DurationMs {
         DurationMs(tokens.0.saturating_mul(1_000) / self.0.max(1))
     }
+
+    /// The tokens that this rate gives in `duration`.
+    #[must_use]
+    pub fn tokens_in(self, duration: DurationMs) -> Tokens {
+        Tokens(self.0.saturating_mul(duration.0) / 1_000)
+    }
 }
--- a/core/src/worker.rs
+++ b/core/src/worker.rs
@@ -4,11 +4,30 @@
     crate::{
         event::{LoadReport, Vm},
         id::{DomainId, Incarnation, ModelId, ServiceId, WeightsVersion, WorkerId},
-        unit::{TimeMs, Tokens},
+        ring::Offer,
+        unit::{DurationMs, MicroCredits, TimeMs, Tokens, TokensPerSecond},
     },
     std::collections::VecDeque,
 };
 
+/// The prefill rate that is assumed before a worker has reported one.
+const DEFAULT_PREFILL_RATE: TokensPerSecond = TokensPerSecond(8_000);
+/// How long an answer is assumed to hold a slot before any was seen.
+const DEFAULT_ANSWER_MS: DurationMs = DurationMs(1_000);
+/// The age from which on a report's time is taken to be the fault of a clock.
+const MAX_REPORT_AGE_MS: DurationMs = DurationMs(2_000);
+/// How long work sent from here is counted when no report comes.
+const MAX_SENT_AGE_MS: DurationMs = DurationMs(10_000);
+/// From here on a predicted time tells by what ratio predictions are off.
+const LONG_MS: DurationMs = DurationMs(100);
+const MAX_DELAY_MS: DurationMs = DurationMs(2_000);
+const MIN_LATENESS_PERMILLE: u64 = 500;
+const MAX_LATENESS_PERMILLE: u64 = 4_000;
+const FIRST_BACK_OFF_MS: u64 = 100;
+const MAX_BACK_OFF_MS: u64 = 10_000;
+/// The ratio of one, in thousandths.
+const ONE_PERMILLE: u64 = 1_000;
+
 /// How alive a worker is believed to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Liveness {
@@ -50,6 +69,17 @@
     pub in_flight: u32,
     /// Attempts that failed in a row.
     pub failures_in_row: u32,
+    /// The time before which it gets no work while others can take it.
+    pub back_off_until_ms: TimeMs,
+    /// Prompt tokens that wait on it, as of `backlog_at_ms`.
+    backlog: Tokens,
+    backlog_at_ms: TimeMs,
+    /// Observed over predicted time to the first token, of long ones, in thousandths, smoothed.
+    lateness_permille: u64,
+    /// What short predictions were too short by, smoothed.
+    delay_ms: DurationMs,
+    /// How long an answer holds a slot, smoothed.
+    answer_ms: DurationMs,
 }
 
 impl Worker {
@@ -67,6 +97,12 @@
             sent: VecDeque::new(),
             in_flight: 0,
             failures_in_row: 0,
+            back_off_until_ms: TimeMs::default(),
+            backlog: Tokens(0),
+            backlog_at_ms: TimeMs::default(),
+            lateness_permille: ONE_PERMILLE,
+            delay_ms: DurationMs(0),
+            answer_ms: DEFAULT_ANSWER_MS,
         }
     }
 
@@ -85,4 +121,169 @@
             .find(|loaded| loaded.0 == model)
             .map(|loaded| loaded.1)
     }
+
+    /// What it offers.
+    #[must_use]
+    pub fn offers(&self) -> Vec<Offer> {
+        let models = self.load.as_ref().map(|load| load.models.as_slice());
+        let mut offers: Vec<Offer> = models
+            .unwrap_or_default()
+            .iter()
+            .map(|(model, weights)| Offer::Model(*model, *weights))
+            .chain(self.service.map(Offer::Service))
+            .collect();
+        offers.sort_unstable();
+        offers.dedup();
+        offers
+    }
+
+    /// How quickly it computes prompt tokens.
+    #[must_use]
+    pub fn prefill_rate(&self) -> TokensPerSecond {
+        let reported = self.load.as_ref().map(|load| load.prefill_rate);
+        reported
+            .filter(|rate| rate.0 > 0)
+            .unwrap_or(DEFAULT_PREFILL_RATE)
+    }
+
+    /// How quickly it imports kept pieces; zero when it can't.
+    #[must_use]
+    pub fn import_rate(&self) -> TokensPerSecond {
+        let reported = self.load.as_ref().map(|load| load.import_rate);
+        reported.unwrap_or_default()
+    }
+
+    /// What a thousand computed tokens cost on it.
+    #[must_use]
+    pub fn price(&self) -> MicroCredits {
+        let reported = self.load.as_ref().map(|load| load.price_microcredits);
+        reported.unwrap_or_default()
+    }
+
+    /// How long an answer holds a slot, smoothed.
+    #[must_use]
+    pub const fn answer_ms(&self) -> DurationMs {
+        self.answer_ms
+    }
+
+    /// The time of a worker that an answer takes, when it runs as many as it can.
+    #[must_use]
+    pub fn answer_share_ms(&self) -> DurationMs {
+        let slots = self.load.as_ref().map_or(1, |load| load.slots.max(1));
+        DurationMs(self.answer_ms.0 / u64::from(slots))
+    }
+
+    /// How long a new attempt waits until its prompt is computed: for the tokens before it, or
+    /// for a slot.
+    #[must_use]
+    pub fn wait_ms(&self, now: TimeMs) -> DurationMs {
+        let tokens_ms = self.prefill_rate().time_for(self.backlog_at(now));
+        tokens_ms.max(self.slot_wait_ms(now))
+    }
+
+    fn slot_wait_ms(&self, now: TimeMs) -> DurationMs {
+        let Some(load) = &self.load else {
+            return DurationMs(0);
+        };
+        let sent = u32::try_from(self.sent.len()).unwrap_or(u32::MAX);
+        let wait_ms = |held: u32| {
+            let waiting = held.saturating_add(1).saturating_sub(load.slots.max(1));
+            DurationMs(u64::from(waiting) * self.answer_share_ms().0)
+        };
+        let elapsed = now.since(load.observed_at_ms).min(MAX_REPORT_AGE_MS);
+        let reported_ms = wait_ms(load.running.saturating_add(sent)).saturating_sub(elapsed);
+        reported_ms.max(wait_ms(self.in_flight))
+    }
+
+    fn backlog_at(&self, now: TimeMs) -> Tokens {
+        let elapsed = now.since(self.backlog_at_ms);
+        self.backlog
+            .saturating_sub(self.prefill_rate().tokens_in(elapsed))
+    }
+
+    /// Counts an attempt that was sent, with the prompt tokens that it has to compute.
+    pub fn note_sent(&mut self, tokens: Tokens, now: TimeMs) {
+        while let Some(sent) = self.sent.front()
+            && now.since(sent.0) > MAX_SENT_AGE_MS
+        {
+            self.sent.pop_front();
+        }
+        self.sent.push_back((now, tokens));
+        self.add_backlog(tokens, now);
+    }
+
+    fn add_backlog(&mut self, tokens: Tokens, now: TimeMs) {
+        self.backlog = self.backlog_at(now) + tokens;
+        self.backlog_at_ms = self.backlog_at_ms.max(now);
+    }
+
+    /// Takes a report in. Work that was sent since it was made is counted on top.
+    pub fn note_load(&mut self, report: LoadReport, now: TimeMs) {
+        let earliest = TimeMs(now.0.saturating_sub(MAX_REPORT_AGE_MS.0));
+        let observed_at_ms = report.observed_at_ms.clamp(earliest, now);
+        self.sent.retain(|sent| sent.0 > observed_at_ms);
+        self.backlog = report.queued_tokens;
+        self.backlog_at_ms = observed_at_ms;
+        self.load = Some(report);
+        self.fade_corrections();
+        for at in 0..self.sent.len() {
+            let (sent_at_ms, tokens) = self.sent[at];
+            self.add_backlog(tokens, sent_at_ms);
+        }
+    }
+
+    /// Forgets what was counted for an earlier life.
+    pub fn restart(&mut self) {
+        self.sent.clear();
+        self.backlog = Tokens(0);
+        self.lateness_permille = ONE_PERMILLE;
+        self.delay_ms = DurationMs(0);
+    }
+
+    /// A predicted time to the first token, corrected by how earlier predictions turned out.
+    #[must_use]
+    pub fn corrected_ms(&self, predicted_ms: DurationMs) -> DurationMs {
+        let scaled = predicted_ms.0.saturating_mul(self.lateness_permille) / ONE_PERMILLE;
+        DurationMs(scaled) + self.delay_ms
+    }
+
+    /// Compares an uncorrected prediction with what was seen: short ones tell the delay that all
+    /// share, long ones the ratio.
+    pub fn note_first_token(&mut self, predicted_ms: DurationMs, observed_ms: DurationMs) {
+        if predicted_ms < LONG_MS {
+            let delay_ms = observed_ms.saturating_sub(predicted_ms).min(MAX_DELAY_MS);
+            self.delay_ms = DurationMs((self.delay_ms.0 * 7 + delay_ms.0) / 8);
+            return;
+        }
+        let observed_ms = observed_ms.saturating_sub(self.delay_ms);
+        let ratio = observed_ms.0.saturating_mul(ONE_PERMILLE) / predicted_ms.0;
+        let ratio = ratio.clamp(MIN_LATENESS_PERMILLE, MAX_LATENESS_PERMILLE);
+        self.lateness_permille = (self.lateness_permille * 7 + ratio) / 8;
+    }
+
+    /// Lets corrections fade, so that a worker that got no work for them is tried again.
+    fn fade_corrections(&mut self) {
+        self.delay_ms = DurationMs(self.delay_ms.0 * 31 / 32);
+        self.lateness_permille = (self.lateness_permille * 31 + ONE_PERMILLE) / 32;
+    }
+
+    /// Notes an answer that came to its end.
+    pub fn note_answer(&mut self, held_ms: DurationMs) {
+        self.failures_in_row = 0;
+        self.back_off_until_ms = TimeMs::default();
+        self.answer_ms = DurationMs((self.answer_ms.0 * 7 + held_ms.0.max(1)) / 8);
+    }
+
+    /// Notes an attempt that failed: the more in a row, the longer others are preferred.
+    pub fn note_failure(&mut self, now: TimeMs) {
+        let doubled = FIRST_BACK_OFF_MS << self.failures_in_row.min(7);
+        self.failures_in_row = self.failures_in_row.saturating_add(1);
+        self.back_off_until_ms = now.after(DurationMs(doubled.min(MAX_BACK_OFF_MS)));
+    }
+
+    /// Whether it gets work before those that have just failed.
+    #[must_use]
+    pub fn is_preferred(&self, now: TimeMs) -> bool {
+        self.takes_work() && self.back_off_until_ms <= now
+    }
 }
