Decline at arrival by target and share; bound retries by a budget

Cause: every request was sent however late its first token would be, a large customer could fill all queues, retries multiplied an outage by three, and an attempt's priority was its target's length, so that old work was overtaken.

Ruled out: a waiting queue in the core (engines order by priority already, and a request that waits here can't be told anything); a share that is enforced without contention (wastes capacity); refusing all work whose prompt alone takes the target (a cold cache would stay cold).

Change: a prediction may take 90 % of the target, down to 60 % for customers with up to four times an equal share of the recent tokens, 50 % for deferrable classes. Retry-After is the time in which the backlog is gone, drawn out by up to a quarter. Priorities are the time of the target. Ten first attempts earn a retry, with a floor of two a second; a stream that was begun is resumed regardless. Work of attempts that ended without being computed is taken back.

Conclusion: an outage or a large customer no longer takes the others' targets.

--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -20,7 +20,8 @@
         record::{CallId, RecordCall},
         request::Request,
         ring::Offers,
-        system::{configuration, liveness, once, placement, request, stream},
+        share::{RetryBudget, Shares},
+        system::{configuration, limits, liveness, once, placement, request, stream},
         table::Table,
         unit::{DurationMs, TimeMs},
         verdict::{Cause, Refusal, Verdict},
@@ -64,6 +65,9 @@
     pub(crate) offers: Offers,
     pub(crate) demand: LevelDemand,
     pub(crate) entries: usize,
+    pub(crate) shares: Shares,
+    pub(crate) shares_looked_at_ms: TimeMs,
+    pub(crate) retries: RetryBudget,
     pub(crate) shutting_down: bool,
     next_attempt: u64,
     next_call: u64,
@@ -91,6 +95,9 @@
             offers: Offers::default(),
             demand: LevelDemand::default(),
             entries: 1,
+            shares: Shares::default(),
+            shares_looked_at_ms: TimeMs::default(),
+            retries: RetryBudget::default(),
             shutting_down: false,
             next_attempt: 0,
             next_call: 0,
@@ -160,6 +167,7 @@
         liveness::tick(self);
         stream::tick(self);
         once::tick(self);
+        limits::tick(self);
     }
 
     /// The generation of the configuration in force.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod record;
 pub mod request;
 pub mod ring;
+pub mod share;
 mod system;
 pub mod table;
 pub mod unit;
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -20,6 +20,8 @@
     pub prompt_tokens: Tokens,
     /// Its idempotency key, when its class may not be repeated.
     pub once: Option<OnceKey>,
+    /// Whether its target was found to be in reach: it is not declined any more.
+    pub admitted: bool,
     /// The attempt in progress.
     pub attempt: Option<Attempt>,
     /// Attempts that were sent.
--- a/core/src/system/placement.rs
+++ b/core/src/system/placement.rs
@@ -571,10 +571,19 @@
     }
 }
 
-/// Takes back what was believed of an attempt that ended before its prompt was computed.
+/// Takes in that an attempt has ended, however. When its prompt was not computed, it takes back
+/// what was believed of it.
 pub fn ended(core: &mut Core, attempt: &Attempt) {
+    let now = core.now;
     let expected = &attempt.expected;
-    if expected.streaming_since_ms.is_some() {
+    let computed = expected.streaming_since_ms.is_some();
+    if let Some(worker) = core.workers.get_mut(&attempt.worker) {
+        worker.note_ended(attempt.sent_at_ms, attempt.uncached_tokens);
+        if !computed {
+            worker.take_back(attempt.uncached_tokens, now);
+        }
+    }
+    if computed {
         return;
     }
     let from = expected.cached_pieces;
--- a/core/src/system/request.rs
+++ b/core/src/system/request.rs
@@ -1,7 +1,7 @@
 //! Takes requests in, sends their attempts, and ends them.
 
 use {
-    super::{liveness, once, placement},
+    super::{limits, liveness, once, placement},
     crate::{
         command::{Command, Send},
         core::Core,
@@ -45,6 +45,7 @@
         prompt_tokens: tokens_of_bytes(bytes),
         arrival,
         once,
+        admitted: false,
         attempt: None,
         attempts_sent: 0,
         failed_on: Vec::new(),
@@ -54,11 +55,18 @@
     };
     let recorded_first = request.once.is_some();
     core.requests.insert(id, request);
-    if recorded_first {
-        once::record(core, id);
-    } else {
+    if !recorded_first {
         send(core, id);
+        return;
+    }
+    if let Err(declined) = limits::place(core, id, &class) {
+        core.refuse(id, Verdict::NotRun, declined.cause, declined.retry_after_ms);
+        return;
+    }
+    if let Some(request) = core.requests.get_mut(&id) {
+        request.admitted = true;
     }
+    once::record(core, id);
 }
 
 fn admit(core: &Core, arrival: &Arrival) -> Result<Class, Cause> {
@@ -123,11 +131,18 @@
         return false;
     };
     let class = class.clone();
-    let Some(placed) = placement::place(core, id, &class) else {
-        core.refuse(id, Verdict::NotRun, Cause::NoWorker, RETRY_AFTER_MS);
-        return false;
+    let placed = match limits::place(core, id, &class) {
+        Ok(placed) => placed,
+        Err(declined) => {
+            core.refuse(id, Verdict::NotRun, declined.cause, declined.retry_after_ms);
+            return false;
+        }
     };
     let now = core.now;
+    let priority = core
+        .requests
+        .get(&id)
+        .map_or(u32::MAX, |request| limits::priority(core, request, &class));
     let Some(request) = core.requests.get_mut(&id) else {
         return false;
     };
@@ -152,12 +167,13 @@
         worker.note_sent(placed.uncached_tokens, now);
     }
     placement::sent(core, id);
+    limits::sent(core, id);
     core.emit(Send {
         request: id,
         attempt,
         worker: placed.worker,
         incarnation: placed.incarnation,
-        priority: u32::try_from(class.first_token_target_ms.0).unwrap_or(u32::MAX),
+        priority,
         scope: placed.scope,
         resume_offset_bytes,
         import: placed.import,
@@ -205,7 +221,7 @@
         once::failed(core, id, attempt, verdict);
         return;
     }
-    if tries_left {
+    if tries_left && limits::may_retry(core, id) {
         send(core, id);
         return;
     }
--- a/core/src/worker.rs
+++ b/core/src/worker.rs
@@ -212,6 +212,23 @@
         self.add_backlog(tokens, now);
     }
 
+    /// No longer counts an attempt that was sent at `sent_at_ms` as waiting or running.
+    pub fn note_ended(&mut self, sent_at_ms: TimeMs, tokens: Tokens) {
+        let sent = self
+            .sent
+            .iter()
+            .rposition(|sent| *sent == (sent_at_ms, tokens));
+        if let Some(at) = sent {
+            self.sent.remove(at);
+        }
+    }
+
+    /// Takes prompt tokens back that won't be computed.
+    pub fn take_back(&mut self, tokens: Tokens, now: TimeMs) {
+        self.backlog = self.backlog_at(now).saturating_sub(tokens);
+        self.backlog_at_ms = self.backlog_at_ms.max(now);
+    }
+
     fn add_backlog(&mut self, tokens: Tokens, now: TimeMs) {
         self.backlog = self.backlog_at(now) + tokens;
         self.backlog_at_ms = self.backlog_at_ms.max(now);
--- a/core/tests/fleet/mod.rs
+++ b/core/tests/fleet/mod.rs
@@ -173,29 +173,6 @@
         sent(&self.arrive(levels)).expect("the request is sent")
     }
 
-    /// Lets an attempt run to its end, with `cached` tokens of its prompt cached.
-    pub fn finish(&mut self, attempt: AttemptId, cached: u64) -> Vec<Command> {
-        self.accept(attempt, cached);
-        self.handle(Event::Piece {
-            attempt,
-            offset_bytes: 0,
-            text: Bytes::from_static(b"answer"),
-        });
-        self.handle(Event::AttemptFinished {
-            attempt,
-            answer_bytes: 6,
-            answer_tokens: Tokens(2),
-        })
-    }
-
-    pub fn accept(&mut self, attempt: AttemptId, cached: u64) {
-        self.handle(Event::AttemptAccepted {
-            attempt,
-            incarnation: Incarnation(1),
-            cached_tokens: Tokens(cached),
-        });
-    }
-
     pub fn fail(&mut self, attempt: AttemptId, failure: Failure) -> Vec<Command> {
         self.handle(Event::AttemptFailed {
             attempt,
--- /dev/null
+++ b/core/tests/limits.rs
@@ -0,0 +1,134 @@
+//! Who is served when not all can be: targets, shares, deferrable work, the retry budget.
+
+mod fleet;
+
+use {
+    bytes::Bytes,
+    cactusspur_core::{Cause, Command, Event, Failure, Incarnation, Refusal, Tokens, Verdict},
+    fleet::{Fleet, TARGET_MS, sent, text},
+    test_case::test_case,
+};
+
+fn question(number: usize) -> Vec<Bytes> {
+    vec![text(&format!("question {number}"), 4_000)]
+}
+
+fn refused(commands: &[Command]) -> Option<Refusal> {
+    commands.iter().find_map(|command| match command {
+        Command::Refuse { refusal, .. } => Some(*refusal),
+        _ => None,
+    })
+}
+
+/// One worker with `queued` tokens before it, at 8 tokens a millisecond.
+fn queued(queued: u64) -> Fleet {
+    let mut fleet = Fleet::open("entry-0", 1, 1);
+    fleet.report(0, |report| report.queued_tokens = Tokens(queued));
+    fleet
+}
+
+#[test_case("check", 12_000, None; "within the target")]
+#[test_case("check", 16_000, Some(Cause::Overload); "out of reach")]
+#[test_case("notes", 12_000, Some(Cause::Overload); "deferrable work waits for a quieter time")]
+#[test_case("notes", 4_000, None; "deferrable work in a quiet time")]
+fn the_target_decides(class: &str, tokens: u64, cause: Option<Cause>) {
+    let mut fleet = queued(tokens);
+    let commands = fleet.arrive_as("trust", class, &question(0));
+    assert_eq!(refused(&commands).map(|refusal| refusal.cause), cause);
+    assert_eq!(sent(&commands).is_none(), cause.is_some());
+}
+
+#[test]
+fn a_refusal_comes_at_once_and_says_when_the_backlog_is_gone() {
+    let mut fleet = queued(80_000);
+    let refusal = refused(&fleet.arrive(&question(0))).expect("a refusal");
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    let retry_after_ms = refusal.retry_after_ms.0;
+    assert!(
+        (9_000..=12_000).contains(&retry_after_ms),
+        "{retry_after_ms}"
+    );
+}
+
+#[test]
+fn work_that_alone_takes_the_target_is_served_by_an_idle_worker() {
+    let long = [text("long", 100_000)];
+    assert!(sent(&queued(0).arrive(&long)).is_some());
+    assert!(sent(&queued(8_000).arrive(&long)).is_none());
+}
+
+#[test]
+fn a_large_customer_leaves_room_for_a_small_one() {
+    let mut fleet = Fleet::open("entry-0", 1, 1);
+    fleet.arrive_as("other", "check", &question(1_000));
+    let mut cause = None;
+    for number in 0..100 {
+        let commands = fleet.arrive_as("trust", "check", &question(number));
+        cause = refused(&commands).map(|refusal| refusal.cause);
+        if cause.is_some() {
+            break;
+        }
+    }
+    assert_eq!(cause, Some(Cause::OverShare));
+    let small = fleet.arrive_as("other", "check", &question(1_001));
+    assert!(sent(&small).is_some());
+}
+
+#[test]
+fn a_customer_alone_may_use_everything() {
+    let mut fleet = Fleet::open("entry-0", 1, 1);
+    let sent = (0..100)
+        .filter(|number| sent(&fleet.arrive(&question(*number))).is_some())
+        .count();
+    let most = TARGET_MS.0 * 8 * 9 / 10 / 1_000;
+    assert_eq!(sent as u64, most);
+}
+
+#[test]
+fn the_earlier_target_and_the_smaller_customer_go_first() {
+    let mut fleet = Fleet::open("entry-0", 1, 1);
+    let first = fleet.send(&question(0)).priority;
+    fleet.wait(500);
+    let later = sent(&fleet.arrive_as("other", "check", &question(1))).expect("sent");
+    assert!(first < later.priority);
+    for number in 2..6 {
+        fleet.send(&question(number));
+    }
+    let large = fleet.send(&question(7)).priority;
+    let small = sent(&fleet.arrive_as("other", "check", &question(8))).expect("sent");
+    assert!(small.priority < large);
+}
+
+#[test]
+fn an_outage_does_not_multiply_the_traffic() {
+    let mut fleet = Fleet::open("entry-0", 12, 1);
+    let mut attempts = 0;
+    for number in 0..500 {
+        let mut next = sent(&fleet.arrive(&question(number)));
+        while let Some(send) = next {
+            attempts += 1;
+            next = sent(&fleet.fail(send.attempt, Failure::Refused));
+        }
+        fleet.wait(1);
+    }
+    assert!((500..=570).contains(&attempts), "{attempts}");
+}
+
+#[test]
+fn a_stream_is_resumed_beyond_the_budget() {
+    let mut fleet = Fleet::open("entry-0", 12, 1);
+    for number in 0..30 {
+        let send = fleet.send(&question(number));
+        fleet.handle(Event::Piece {
+            attempt: send.attempt,
+            offset_bytes: 0,
+            text: Bytes::from_static(b"answer"),
+        });
+        let again = sent(&fleet.fail(send.attempt, Failure::Broken));
+        fleet.handle(Event::Probed {
+            worker: send.worker,
+            incarnation: Some(Incarnation(1)),
+        });
+        assert_eq!(again.map(|send| send.resume_offset_bytes), Some(6));
+    }
+}
