Spend credits: what lapses first, from allotments drawn ahead

Cause: declared credits were not looked at, costs were always zero, and a class's limit on cost was not enforced.

Ruled out: a write to the ledger for each request (hundreds of writes a second are all that the table service takes); stopping when the ledger can't be read (an outage would cost answers); reading a row back after a lost answer before the write is repeated (the conditional write settles it by itself).

Change: a request is charged with the most that it may cost when it is sent and settled when it ends. Each entry VM draws what it spends in ten seconds from the grants that lapse first, at most half of what is left divided by the entry VMs, and may owe as much while the ledger can't be asked; before it has read the ledger a sixty-fourth of the grant, all entry VMs together. A lost answer is settled by the row's last draw; when another draw has covered it, the amount counts as lost. A lapsed grant is not spent. Deferrable classes aren't held off in the last hour before a lapse. Costs are in Usage.

Conclusion: never over a grant with the ledger up; with it down by at most what may be owed.

--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -9,6 +9,7 @@
     crate::{
         cache::CacheIndex,
         command::{Command, Usage},
+        credit::Credits,
         declaration::{Class, Configuration, Customer},
         demand::LevelDemand,
         event::Event,
@@ -21,7 +22,7 @@
         request::Request,
         ring::Offers,
         share::{RetryBudget, Shares},
-        system::{configuration, limits, liveness, once, placement, request, stream},
+        system::{configuration, credits, limits, liveness, once, placement, request, stream},
         table::Table,
         unit::{DurationMs, TimeMs},
         verdict::{Cause, Refusal, Verdict},
@@ -68,6 +69,7 @@
     pub(crate) shares: Shares,
     pub(crate) shares_looked_at_ms: TimeMs,
     pub(crate) retries: RetryBudget,
+    pub(crate) credits: Credits,
     pub(crate) shutting_down: bool,
     next_attempt: u64,
     next_call: u64,
@@ -98,6 +100,7 @@
             shares: Shares::default(),
             shares_looked_at_ms: TimeMs::default(),
             retries: RetryBudget::default(),
+            credits: Credits::default(),
             shutting_down: false,
             next_attempt: 0,
             next_call: 0,
@@ -147,7 +150,11 @@
                 request::failed(self, attempt, verdict, failure);
             }
             Event::CallerLeft { request } => request::caller_left(self, request),
-            Event::RecordAnswered { call, answer } => once::answered(self, call, answer),
+            Event::RecordAnswered { call, answer } => {
+                if !credits::answered(self, call, &answer) {
+                    once::answered(self, call, answer);
+                }
+            }
             Event::Probed {
                 worker,
                 incarnation,
@@ -168,6 +175,7 @@
         stream::tick(self);
         once::tick(self);
         limits::tick(self);
+        credits::tick(self);
     }
 
     /// The generation of the configuration in force.
@@ -240,13 +248,15 @@
         self.emit(Command::Refuse { request, refusal });
     }
 
-    pub(crate) fn complete(&mut self, request: RequestId, usage: Usage) {
+    pub(crate) fn complete(&mut self, request: RequestId, mut usage: Usage) {
+        usage.cost_microcredits = credits::settle(self, request, usage.answer_tokens);
         self.forget(request);
         self.emit(Command::Complete { request, usage });
     }
 
     /// Ends a request: its attempt, if any, no longer counts.
     pub(crate) fn forget(&mut self, request: RequestId) {
+        credits::release(self, request);
         self.end_attempt(request);
         self.requests.remove(&request);
     }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cache;
 pub mod command;
 pub mod core;
+pub mod credit;
 pub mod decay;
 pub mod declaration;
 pub mod demand;
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -1,10 +1,11 @@
 //! Requests in progress and their attempts.
 
 use crate::{
+    credit::Charge,
     event::Arrival,
     id::{AttemptId, ClassId, CustomerId, Incarnation, OnceKey, RequestId, WorkerId},
     prefix::{PrefixChain, PrefixScope},
-    unit::{DurationMs, TimeMs, Tokens},
+    unit::{DurationMs, MicroCredits, TimeMs, Tokens},
 };
 
 /// A request in progress.
@@ -22,6 +23,8 @@
     pub once: Option<OnceKey>,
     /// Whether its target was found to be in reach: it is not declined any more.
     pub admitted: bool,
+    /// What was charged for it beforehand.
+    pub charges: Vec<Charge>,
     /// The attempt in progress.
     pub attempt: Option<Attempt>,
     /// Attempts that were sent.
@@ -43,6 +46,12 @@
         self.arrival.customer
     }
 
+    /// Some tokens of the prompt with the longest answer that is asked for.
+    #[must_use]
+    pub const fn with_answer(&self, tokens: Tokens) -> Tokens {
+        Tokens(tokens.0.saturating_add(self.arrival.max_answer_tokens.0))
+    }
+
     /// The class.
     #[must_use]
     pub const fn class(&self) -> ClassId {
@@ -94,6 +103,8 @@
     pub uncorrected_ms: DurationMs,
     /// The part of the predicted time that is its own work, not waiting.
     pub work_ms: DurationMs,
+    /// What a thousand computed tokens cost on the worker.
+    pub price: MicroCredits,
     /// When the first piece of the answer came.
     pub streaming_since_ms: Option<TimeMs>,
 }
--- a/core/src/system.rs
+++ b/core/src/system.rs
@@ -1,6 +1,7 @@
 //! The systems of the core: each does one job over the tables.
 
 pub mod configuration;
+pub mod credits;
 pub mod limits;
 pub mod liveness;
 pub mod once;
--- a/core/src/system/limits.rs
+++ b/core/src/system/limits.rs
@@ -2,7 +2,10 @@
 //! contention by its customer's share. Nothing waits here: a refusal is given at once.
 
 use {
-    super::placement::{self, Placement},
+    super::{
+        credits,
+        placement::{self, Placement},
+    },
     crate::{
         core::Core,
         declaration::Class,
@@ -44,15 +47,19 @@
 
 /// Places a request. One that has not been admitted yet is declined when its target is out of
 /// reach, or when it would take what other customers' shares need.
-pub fn place(core: &Core, id: RequestId, class: &Class) -> Result<Placement, Declined> {
+pub fn place(core: &mut Core, id: RequestId, class: &Class) -> Result<Placement, Declined> {
     let declined = |cause| Declined {
         cause,
         retry_after_ms: RETRY_AFTER_MS,
     };
     let placed = placement::place(core, id, class).ok_or(declined(Cause::NoWorker))?;
     let request = core.requests.get(&id).ok_or(declined(Cause::Unknown))?;
-    if !request.admitted {
-        check_target(core, request, class, &placed)?;
+    if request.admitted {
+        return Ok(placed);
+    }
+    check_target(core, request, class, &placed)?;
+    if !credits::allows(core, id, class, &placed) {
+        return Err(declined(Cause::NoCredits));
     }
     Ok(placed)
 }
@@ -66,7 +73,8 @@
     let target = class.first_token_target_ms.0;
     let excess = excess_permille(core, request.customer());
     let share = LIMIT_PERMILLE - excess;
-    let allowed = if class.deferrable {
+    let waits = class.deferrable && !credits::lapse_soon(core, request.customer());
+    let allowed = if waits {
         share.min(DEFERRABLE_PERMILLE)
     } else {
         share
@@ -122,7 +130,7 @@
         return;
     };
     let tokens = if attempt.scope.is_some() {
-        attempt.uncached_tokens + request.arrival.max_answer_tokens
+        request.with_answer(attempt.uncached_tokens)
     } else {
         Tokens(attempt.expected.work_ms.0 * SERVICE_TOKENS_PER_MS)
     };
--- a/core/src/system/placement.rs
+++ b/core/src/system/placement.rs
@@ -8,13 +8,14 @@
     crate::{
         cache::Holder,
         core::Core,
+        credit::cost,
         declaration::{Class, ServedBy},
         event::{Vm, VmList, VmRole},
         id::{Incarnation, ModelId, PieceHash, RequestId, WeightsVersion, WorkerId},
         prefix::{PIECE_TOKENS, PrefixChain, PrefixScope},
         request::{Attempt, Expectation, Request},
         ring::{Offer, Pool, Ring},
-        unit::{DurationMs, Tokens},
+        unit::{DurationMs, MicroCredits, Tokens},
         worker::Worker,
     },
     xxhash_rust::xxh3::xxh3_64_with_seed,
@@ -87,12 +88,15 @@
     work_ms: DurationMs,
     uncorrected_ms: DurationMs,
     predicted_ms: DurationMs,
+    /// Whether it may cost more than the class allows.
+    is_dear: bool,
 }
 
 /// A model request and what is the same for all workers.
 struct Prompt<'a> {
     request: &'a Request,
     target_ms: DurationMs,
+    max_cost: MicroCredits,
     scope: PrefixScope,
     chain: PrefixChain,
     holders: Vec<Holder>,
@@ -153,6 +157,7 @@
         expected: Expectation {
             uncorrected_ms,
             work_ms: worker.answer_ms(),
+            price: worker.price(),
             ..Expectation::default()
         },
     })
@@ -171,6 +176,7 @@
     let prompt = Prompt {
         request,
         target_ms: class.first_token_target_ms,
+        max_cost: class.max_cost_microcredits,
         scope,
         holders: core.cache.holders(&chain, core.now),
         kept_pieces: core.kept.kept(&chain, core.now),
@@ -235,15 +241,16 @@
         (target * COMFORT_PERMILLE / 1_000).max(quickest.0 + target * SLACK_PERMILLE / 1_000);
     predictions.into_iter().min_by_key(|prediction| {
         if prediction.predicted_ms.0 > comfort {
-            (true, prediction.predicted_ms.0)
+            (prediction.is_dear, true, prediction.predicted_ms.0)
         } else {
-            (false, price_of(core, prompt, prediction))
+            let delay_ms = delay_ms(core, prompt, prediction);
+            (prediction.is_dear, false, delay_ms)
         }
     })
 }
 
-/// What it costs all requests, in milliseconds, that a worker on time takes this one.
-fn price_of(core: &Core, prompt: &Prompt<'_>, prediction: &Prediction) -> u64 {
+/// How much it delays all requests, in milliseconds, that a worker on time takes this one.
+fn delay_ms(core: &Core, prompt: &Prompt<'_>, prediction: &Prediction) -> u64 {
     let home = prompt.home;
     let wait_ms = prediction
         .predicted_ms
@@ -416,6 +423,7 @@
     } else {
         DurationMs(CROSS_DOMAIN_MS)
     };
+    let paid_tokens = prompt.request.with_answer(uncached_tokens);
     let work_ms = recompute_ms + import_ms;
     let uncorrected_ms = worker.wait_ms(core.now) + work_ms + cross_ms;
     Prediction {
@@ -429,6 +437,7 @@
         work_ms,
         uncorrected_ms,
         predicted_ms: worker.corrected_ms(uncorrected_ms),
+        is_dear: cost(paid_tokens, worker.price()) > prompt.max_cost,
     }
 }
 
@@ -470,6 +479,7 @@
             exported_pieces,
             uncorrected_ms: chosen.uncorrected_ms,
             work_ms: chosen.work_ms,
+            price: worker.map(Worker::price).unwrap_or_default(),
             streaming_since_ms: None,
             chain: prompt.chain,
         },
--- a/core/src/system/request.rs
+++ b/core/src/system/request.rs
@@ -1,7 +1,7 @@
 //! Takes requests in, sends their attempts, and ends them.
 
 use {
-    super::{limits, liveness, once, placement},
+    super::{credits, limits, liveness, once, placement},
     crate::{
         command::{Command, Send},
         core::Core,
@@ -46,6 +46,7 @@
         arrival,
         once,
         admitted: false,
+        charges: Vec::new(),
         attempt: None,
         attempts_sent: 0,
         failed_on: Vec::new(),
@@ -168,6 +169,7 @@
     }
     placement::sent(core, id);
     limits::sent(core, id);
+    credits::reserve(core, id);
     core.emit(Send {
         request: id,
         attempt,
--- /dev/null
+++ b/core/tests/credits.rs
@@ -0,0 +1,262 @@
+//! Credits: lapse dates, limits of classes, draws from the ledger, lost answers, outages.
+
+mod fleet;
+
+use {
+    cactusspur_core::{
+        AttemptId, CallId, Cause, Command, CreditGrant, DurationMs, Event, MicroCredits, Record,
+        RecordAnswer, RecordCall, RecordKey, Row, RowVersion, Send, Tokens,
+    },
+    fleet::{Fleet, class, customer, refused, sent, text},
+    std::collections::BTreeMap,
+};
+
+/// What a request of these tests is charged beforehand: 250 prompt and 100 answer tokens.
+const RESERVED: u64 = 350;
+/// What it costs with its answer of two tokens.
+const COST: u64 = 252;
+const HOUR_MS: u64 = 3_600_000;
+
+/// The ledger's rows; loses the answers of the writes whose numbers are listed.
+#[derive(Default)]
+struct Ledger {
+    rows: BTreeMap<RecordKey, Row>,
+    writes: usize,
+    lost: Vec<usize>,
+    is_down: bool,
+}
+
+impl Ledger {
+    fn answer(&mut self, what: RecordCall) -> RecordAnswer {
+        if self.is_down {
+            return RecordAnswer::Unknown;
+        }
+        match what {
+            RecordCall::Read { key } => RecordAnswer::Read(self.rows.get(&key).cloned()),
+            RecordCall::Write {
+                key,
+                expected,
+                record,
+            } => self.write(key, expected, record),
+        }
+    }
+
+    fn write(
+        &mut self,
+        key: RecordKey,
+        expected: Option<RowVersion>,
+        record: Record,
+    ) -> RecordAnswer {
+        let standing = self.rows.get(&key);
+        if standing.map(|row| row.version) != expected {
+            return RecordAnswer::Conflict(standing.cloned());
+        }
+        let version = RowVersion(expected.map_or(1, |version| version.0 + 1));
+        self.rows.insert(key, Row { version, record });
+        self.writes += 1;
+        if self.lost.contains(&self.writes) {
+            return RecordAnswer::Unknown;
+        }
+        RecordAnswer::Written(version)
+    }
+
+    fn drawn(&self, grant: &str) -> u64 {
+        self.rows
+            .iter()
+            .filter(|(key, _)| matches!(key, RecordKey::Ledger { grant: one, .. } if one == grant))
+            .map(|(_, row)| match &row.record {
+                Record::Ledger(ledger) => ledger.drawn_microcredits.0,
+                _ => 0,
+            })
+            .sum()
+    }
+
+    /// Answers all calls among the commands, and those that follow.
+    fn serve(&mut self, fleet: &mut Fleet, commands: Vec<Command>) {
+        let calls: Vec<(CallId, RecordCall)> = commands
+            .into_iter()
+            .filter_map(|command| match command {
+                Command::Record { call, what } => Some((call, what)),
+                _ => None,
+            })
+            .collect();
+        for (call, what) in calls {
+            let answer = self.answer(what);
+            let next = fleet.handle(Event::RecordAnswered { call, answer });
+            self.serve(fleet, next);
+        }
+    }
+}
+
+fn grant(fleet: &Fleet, name: &str, amount: u64, lapses_in_ms: u64) -> CreditGrant {
+    CreditGrant {
+        name: name.to_owned(),
+        amount_microcredits: MicroCredits(amount),
+        lapses_at_ms: fleet.now.after(DurationMs(lapses_in_ms)),
+    }
+}
+
+/// A core whose customer has the grants, as (name, amount, time to lapse).
+fn metered(entry: &str, grants: &[(&str, u64, u64)]) -> Fleet {
+    let mut fleet = Fleet::open(entry, 1, 1);
+    let grants = grants
+        .iter()
+        .map(|(name, amount, lapses)| grant(&fleet, name, *amount, *lapses))
+        .collect();
+    let classes = vec![class("check", false), class("notes", true)];
+    fleet.configure(2, classes, vec![customer("trust", grants)]);
+    fleet
+}
+
+fn finish(fleet: &mut Fleet, attempt: AttemptId) -> u64 {
+    let commands = fleet.finish(attempt, 0);
+    let complete = commands.into_iter().find_map(|command| match command {
+        Command::Complete { usage, .. } => Some(usage.cost_microcredits.0),
+        _ => None,
+    });
+    complete.unwrap_or_default()
+}
+
+/// Asks a question that no other asks. Returns the attempt or the cause of the refusal.
+fn ask(fleet: &mut Fleet, ledger: &mut Ledger, number: usize) -> Result<Send, Cause> {
+    let commands = fleet.arrive(&[text(&format!("question {number}"), 1_000)]);
+    let result = sent(&commands);
+    let cause = refused(&commands).map(|refusal| refusal.cause);
+    ledger.serve(fleet, commands);
+    result.ok_or(cause.unwrap_or(Cause::BadRequest))
+}
+
+/// Asks until three questions in a row are refused for credits. Returns what was spent.
+fn spend_all(fleets: &mut [Fleet], ledger: &mut Ledger, questions: usize) -> u64 {
+    let mut spent = 0;
+    for number in 0..questions {
+        for fleet in &mut *fleets {
+            let tick = fleet.wait(600);
+            ledger.serve(fleet, tick);
+            if let Ok(send) = ask(fleet, ledger, number) {
+                spent += finish(fleet, send.attempt);
+            }
+        }
+    }
+    spent
+}
+
+#[test]
+fn the_cost_is_what_was_computed() {
+    let mut fleet = metered("entry-0", &[("seed", 1_000_000, HOUR_MS)]);
+    let send = ask(&mut fleet, &mut Ledger::default(), 0).expect("sent");
+    assert_eq!(finish(&mut fleet, send.attempt), COST);
+}
+
+#[test]
+fn a_class_refuses_what_may_cost_more() {
+    let mut fleet = metered("entry-0", &[("seed", 1_000_000, HOUR_MS)]);
+    let mut cheap = class("check", false);
+    cheap.max_cost_microcredits = MicroCredits(RESERVED - 1);
+    let rich = vec![grant(&fleet, "seed", 1_000_000, HOUR_MS)];
+    fleet.configure(3, vec![cheap], vec![customer("trust", rich)]);
+    let result = ask(&mut fleet, &mut Ledger::default(), 0);
+    assert_eq!(result.err(), Some(Cause::NoCredits));
+}
+
+#[test]
+fn the_grant_that_lapses_first_is_spent_first() {
+    let grants = [("late", 50_000, 20 * HOUR_MS), ("early", 50_000, HOUR_MS)];
+    let mut fleet = metered("entry-0", &grants);
+    let mut ledger = Ledger::default();
+    spend_all(std::slice::from_mut(&mut fleet), &mut ledger, 20);
+    assert!(ledger.drawn("early") > 0);
+    assert_eq!(ledger.drawn("late"), 0);
+}
+
+#[test]
+fn a_lapsed_grant_is_never_spent() {
+    let mut fleet = metered("entry-0", &[("early", 1_000_000, HOUR_MS)]);
+    let mut ledger = Ledger::default();
+    assert!(ask(&mut fleet, &mut ledger, 0).is_ok());
+    fleet.wait(HOUR_MS);
+    let writes = ledger.writes;
+    let result = ask(&mut fleet, &mut ledger, 1);
+    assert_eq!(result.err(), Some(Cause::NoCredits));
+    assert_eq!(ledger.writes, writes);
+}
+
+#[test]
+fn entry_vms_together_spend_a_grant_and_not_more() {
+    let open = |entry| metered(entry, &[("seed", 20_000, HOUR_MS)]);
+    let mut fleets = ["entry-0", "entry-1", "entry-2"].map(open);
+    for fleet in &mut fleets {
+        fleet.entries = 3;
+        fleet.list();
+    }
+    let mut ledger = Ledger::default();
+    let spent = spend_all(&mut fleets, &mut ledger, 60);
+    assert!((18_000..=20_000).contains(&spent), "{spent}");
+    assert!(ledger.drawn("seed") <= 20_000);
+}
+
+#[test]
+fn a_lost_answer_draws_once() {
+    let mut fleet = metered("entry-0", &[("seed", 20_000, HOUR_MS)]);
+    let mut ledger = Ledger {
+        lost: (1..40).step_by(2).collect(),
+        ..Ledger::default()
+    };
+    let spent = spend_all(std::slice::from_mut(&mut fleet), &mut ledger, 120);
+    assert!((19_000..=20_000).contains(&spent), "{spent}");
+    assert!(ledger.drawn("seed") <= 20_000);
+}
+
+#[test]
+fn an_outage_from_the_start_costs_no_answers_up_to_a_bound() {
+    let mut fleet = metered("entry-0", &[("seed", 640_000, HOUR_MS)]);
+    let mut ledger = Ledger {
+        is_down: true,
+        ..Ledger::default()
+    };
+    let spent = spend_all(std::slice::from_mut(&mut fleet), &mut ledger, 60);
+    assert!((9_000..=10_000).contains(&spent), "{spent}");
+    ledger.is_down = false;
+    spend_all(std::slice::from_mut(&mut fleet), &mut ledger, 3);
+    assert!(ledger.drawn("seed") >= spent, "what is owed is drawn");
+}
+
+#[test]
+fn an_outage_later_is_bridged_by_what_is_left() {
+    let mut fleet = metered("entry-0", &[("seed", 100_000, HOUR_MS)]);
+    let mut ledger = Ledger::default();
+    spend_all(std::slice::from_mut(&mut fleet), &mut ledger, 10);
+    ledger.is_down = true;
+    let spent = spend_all(std::slice::from_mut(&mut fleet), &mut ledger, 400);
+    assert!((40_000..=60_000).contains(&spent), "{spent}");
+}
+
+#[test]
+fn work_that_was_not_done_is_not_paid() {
+    let mut fleet = metered("entry-0", &[("seed", 2_000, HOUR_MS)]);
+    let mut ledger = Ledger::default();
+    for number in 0..40 {
+        let tick = fleet.wait(600);
+        ledger.serve(&mut fleet, tick);
+        if let Ok(send) = ask(&mut fleet, &mut ledger, number) {
+            let request = send.request;
+            fleet.handle(Event::CallerLeft { request });
+        }
+    }
+    let spent = spend_all(std::slice::from_mut(&mut fleet), &mut ledger, 20);
+    assert!((1_600..=2_000).contains(&spent), "{spent}");
+}
+
+#[test]
+fn work_that_may_wait_gets_through_near_a_lapse() {
+    let busy = |lapses_in_ms: u64| {
+        let mut fleet = metered("entry-0", &[("seed", 10_000_000, lapses_in_ms)]);
+        let mut ledger = Ledger::default();
+        ask(&mut fleet, &mut ledger, 0).expect("sent");
+        fleet.report(0, |report| report.queued_tokens = Tokens(12_000));
+        let commands = fleet.arrive_as("trust", "notes", &[text("notes", 1_000)]);
+        sent(&commands).is_some()
+    };
+    assert!(busy(HOUR_MS / 2));
+    assert!(!busy(20 * HOUR_MS));
+}
--- a/core/tests/fleet/mod.rs
+++ b/core/tests/fleet/mod.rs
@@ -1,13 +1,15 @@
 //! A core with workers that report, for the tests of the policy.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use {
     bytes::Bytes,
     cactusspur_core::{
         Arrival, AttemptId, Class, ClassId, Command, Configuration, Core, CoreSettings,
         CreditGrant, Customer, CustomerId, Declarations, DomainId, DurationMs, EntryId, Event,
-        Failure, Generation, Incarnation, LoadReport, MicroCredits, Model, RequestId, Send,
-        ServedBy, TimeMs, Tokens, TokensPerSecond, Verdict, Vm, VmList, VmRole, WeightsVersion,
-        WorkerId,
+        Failure, Generation, Incarnation, LoadReport, MicroCredits, Model, Refusal, RequestId,
+        Send, ServedBy, TimeMs, Tokens, TokensPerSecond, Verdict, Vm, VmList, VmRole,
+        WeightsVersion, WorkerId,
     },
 };
 
@@ -61,7 +63,7 @@
         let settings = CoreSettings {
             entry: EntryId::of(entry),
             domain: DomainId::of("domain-0"),
-            incarnation: 1,
+            incarnation: EntryId::of(entry).0,
             max_requests: 100_000,
         };
         let mut fleet = Self {
@@ -173,6 +175,25 @@
         sent(&self.arrive(levels)).expect("the request is sent")
     }
 
+    /// Lets an attempt run to its end, with `cached` tokens of its prompt cached.
+    pub fn finish(&mut self, attempt: AttemptId, cached: u64) -> Vec<Command> {
+        self.handle(Event::AttemptAccepted {
+            attempt,
+            incarnation: Incarnation(1),
+            cached_tokens: Tokens(cached),
+        });
+        self.handle(Event::Piece {
+            attempt,
+            offset_bytes: 0,
+            text: Bytes::from_static(b"answer"),
+        });
+        self.handle(Event::AttemptFinished {
+            attempt,
+            answer_bytes: 6,
+            answer_tokens: Tokens(2),
+        })
+    }
+
     pub fn fail(&mut self, attempt: AttemptId, failure: Failure) -> Vec<Command> {
         self.handle(Event::AttemptFailed {
             attempt,
@@ -188,3 +209,10 @@
         _ => None,
     })
 }
+
+pub fn refused(commands: &[Command]) -> Option<Refusal> {
+    commands.iter().find_map(|command| match command {
+        Command::Refuse { refusal, .. } => Some(*refusal),
+        _ => None,
+    })
+}
--- a/core/tests/limits.rs
+++ b/core/tests/limits.rs
@@ -4,8 +4,8 @@
 
 use {
     bytes::Bytes,
-    cactusspur_core::{Cause, Command, Event, Failure, Incarnation, Refusal, Tokens, Verdict},
-    fleet::{Fleet, TARGET_MS, sent, text},
+    cactusspur_core::{Cause, Event, Failure, Incarnation, Tokens, Verdict},
+    fleet::{Fleet, TARGET_MS, refused, sent, text},
     test_case::test_case,
 };
 
@@ -13,13 +13,6 @@
     vec![text(&format!("question {number}"), 4_000)]
 }
 
-fn refused(commands: &[Command]) -> Option<Refusal> {
-    commands.iter().find_map(|command| match command {
-        Command::Refuse { refusal, .. } => Some(*refusal),
-        _ => None,
-    })
-}
-
 /// One worker with `queued` tokens before it, at 8 tokens a millisecond.
 fn queued(queued: u64) -> Fleet {
     let mut fleet = Fleet::open("entry-0", 1, 1);
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -4,9 +4,7 @@
 
 use {
     bytes::Bytes,
-    cactusspur_core::{
-        AttemptId, Event, Failure, Incarnation, Tokens, TokensPerSecond, WeightsVersion, WorkerId,
-    },
+    cactusspur_core::{Event, Failure, Tokens, TokensPerSecond, WeightsVersion, WorkerId},
     fleet::{Fleet, sent, text, worker},
     std::collections::{BTreeSet, VecDeque},
     test_case::test_case,
@@ -23,25 +21,6 @@
     ]
 }
 
-/// Lets an attempt run to its end, with `cached` tokens of its prompt cached.
-fn finish(fleet: &mut Fleet, attempt: AttemptId, cached: u64) {
-    fleet.handle(Event::AttemptAccepted {
-        attempt,
-        incarnation: Incarnation(1),
-        cached_tokens: Tokens(cached),
-    });
-    fleet.handle(Event::Piece {
-        attempt,
-        offset_bytes: 0,
-        text: Bytes::from_static(b"answer"),
-    });
-    fleet.handle(Event::AttemptFinished {
-        attempt,
-        answer_bytes: 6,
-        answer_tokens: Tokens(2),
-    });
-}
-
 #[test_case(12; "all compared")]
 #[test_case(1_000; "a few compared")]
 fn entry_vms_agree_without_talking(workers: usize) {
@@ -61,7 +40,7 @@
 fn the_holder_of_a_prefix_gets_its_next_request(workers: usize) {
     let mut fleet = Fleet::open("entry-0", workers, 3);
     let first = fleet.send(&prompt(1, 0));
-    finish(&mut fleet, first.attempt, 0);
+    fleet.finish(first.attempt, 0);
     fleet.wait(2_000);
     let second = fleet.send(&prompt(1, 1));
     assert_eq!(first.worker, second.worker);
@@ -71,7 +50,7 @@
 fn a_holder_out_of_reach_is_passed_over() {
     let mut fleet = Fleet::open("entry-0", 12, 1);
     let first = fleet.send(&prompt(1, 0));
-    finish(&mut fleet, first.attempt, 0);
+    fleet.finish(first.attempt, 0);
     let busy = (0..12).find(|number| worker(*number) == first.worker);
     fleet.report(busy.unwrap_or_default(), |report| {
         report.queued_tokens = Tokens(40_000);
@@ -96,7 +75,7 @@
 fn a_hot_level_spreads_and_shrinks_again(workers: usize) {
     let mut fleet = Fleet::open("entry-0", workers, 1);
     let first = fleet.send(&prompt(1, 0));
-    finish(&mut fleet, first.attempt, 0);
+    fleet.finish(first.attempt, 0);
     fleet.wait(3_000);
     let mut hot = BTreeSet::from([first.worker]);
     let mut running = VecDeque::new();
@@ -110,13 +89,13 @@
         running.push_back((send.attempt, cached));
         if running.len() > 60 {
             let (attempt, cached) = running.pop_front().unwrap_or_default();
-            finish(&mut fleet, attempt, cached);
+            fleet.finish(attempt, cached);
         }
         fleet.wait(10);
     }
     assert!(hot.len() > 2, "{hot:?}");
     for (attempt, cached) in running {
-        finish(&mut fleet, attempt, cached);
+        fleet.finish(attempt, cached);
     }
     for _ in 0..100 {
         fleet.wait(12_000);
@@ -127,11 +106,7 @@
     for question in 500..510 {
         let send = fleet.send(&prompt(1, question));
         assert_eq!(send.worker, first.worker, "{question}");
-        finish(
-            &mut fleet,
-            send.attempt,
-            if question == 500 { 0 } else { HOME_TOKENS },
-        );
+        fleet.finish(send.attempt, if question == 500 { 0 } else { HOME_TOKENS });
         fleet.wait(10_000);
     }
 }
@@ -198,11 +173,7 @@
         let send = fleet.send(&prompt(1, question));
         exported += send.export.len();
         holder = send.worker;
-        finish(
-            &mut fleet,
-            send.attempt,
-            if question == 0 { 0 } else { HOME_TOKENS },
-        );
+        fleet.finish(send.attempt, if question == 0 { 0 } else { HOME_TOKENS });
         fleet.wait(100);
     }
     assert_eq!(exported, 48, "the home level once");
