--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -9,7 +9,8 @@
 
 /// Starts logging to standard error. The environment variable `RUST_LOG` sets the level.
 pub fn open_log(format: LogFormat) {
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    let filter = EnvFilter::try_from_default_env()
+        .unwrap_or_else(|_| EnvFilter::new("warn,cactusspur=info"));
     let log = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(io::stderr);
