Let a refusal's verdict cover all attempts of the request

Cause: a retry that found no worker, or was refused, told 'not run' although an earlier attempt may have run. Ruled out: leaving it to each caller of refuse; Core::refuse now takes the worst.

Also adds Event::WorkerLeaving, Core::sizes and Core::believed_cached, which the fuzzing looks at.

--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -15,11 +15,12 @@
             AttemptId, ClassId, CustomerId, DomainId, EntryId, Generation, ModelId, RequestId,
             WeightsVersion, WorkerId,
         },
+        prefix::PrefixChain,
         record::{CallId, RecordCall},
         request::Request,
         system::{configuration, liveness, once, request, stream},
         table::Table,
-        unit::{DurationMs, TimeMs},
+        unit::{DurationMs, TimeMs, Tokens},
         verdict::{Cause, Refusal, Verdict},
         worker::Worker,
     },
@@ -42,6 +43,19 @@
     pub max_requests: usize,
 }
 
+/// The numbers of rows that requests and their calls to the table service take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TableSizes {
+    /// Requests in progress.
+    pub requests: usize,
+    /// Attempts in progress.
+    pub attempts: usize,
+    /// Uses of idempotency keys that are not settled.
+    pub once: usize,
+    /// Calls to the table service that wait for their answer.
+    pub calls: usize,
+}
+
 /// The state of the decisions.
 #[derive(Debug)]
 pub struct Core {
@@ -136,6 +150,10 @@
             } => liveness::probed(self, worker, incarnation),
             Event::Load(report) => liveness::load(self, report),
             Event::Cache(report) => liveness::cache(self, &report),
+            Event::WorkerLeaving {
+                worker,
+                incarnation,
+            } => liveness::leaving(self, worker, incarnation),
             Event::Vms(list) => liveness::listed(self, &list),
             Event::Configured(accepted) => configuration::accept(self, accepted),
             Event::ShutdownStarted => self.shutting_down = true,
@@ -174,6 +192,23 @@
         self.once.len()
     }
 
+    /// The prefix of a prompt that is believed to be cached in the worker's life as known.
+    #[must_use]
+    pub fn believed_cached(&self, worker: WorkerId, chain: &PrefixChain) -> Tokens {
+        self.cache.cached(worker, chain)
+    }
+
+    /// The rows that are kept for requests in progress and unsettled keys.
+    #[must_use]
+    pub fn sizes(&self) -> TableSizes {
+        TableSizes {
+            requests: self.requests.len(),
+            attempts: self.attempts.len(),
+            once: self.once.len(),
+            calls: self.calls.len(),
+        }
+    }
+
     /// The workers, in the order of their ids.
     pub fn workers(&self) -> impl Iterator<Item = &Worker> {
         self.workers.iter().map(|row| row.1)
@@ -198,6 +233,7 @@
         self.emit(Command::Record { call, what });
     }
 
+    /// Gives a request its final answer. The verdict covers all attempts that it has had.
     pub(crate) fn refuse(
         &mut self,
         request: RequestId,
@@ -205,6 +241,8 @@
         cause: Cause,
         retry_after_ms: DurationMs,
     ) {
+        let earlier = self.requests.get(&request).map(|known| known.verdict);
+        let verdict = earlier.map_or(verdict, |earlier| earlier.max(verdict));
         self.forget(request);
         let refusal = Refusal {
             verdict,
--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -92,6 +92,13 @@
     /// A worker has reported changes of its cache.
     #[from]
     Cache(CacheReport),
+    /// A worker has said itself that it is leaving.
+    WorkerLeaving {
+        /// The worker.
+        worker: WorkerId,
+        /// Its life.
+        incarnation: Incarnation,
+    },
     /// The platform's list of VMs was read.
     #[from]
     Vms(VmList),
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use crate::{
     command::{Command, Send, Usage},
-    core::{Core, CoreSettings, TICK_MS},
+    core::{Core, CoreSettings, TICK_MS, TableSizes},
     declaration::{Class, Configuration, CreditGrant, Customer, Declarations, Model, ServedBy},
     event::{
         Arrival, CacheChange, CacheReport, Event, Failure, LoadReport, RETRY_AFTER_MS, Vm, VmList,
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -5,6 +5,7 @@
     id::{AttemptId, ClassId, CustomerId, Incarnation, OnceKey, RequestId, WorkerId},
     prefix::PrefixScope,
     unit::{DurationMs, TimeMs, Tokens},
+    verdict::Verdict,
 };
 
 /// A request in progress.
@@ -24,6 +25,8 @@
     pub attempt: Option<Attempt>,
     /// Attempts that were sent.
     pub attempts_sent: u32,
+    /// Whether any of its attempts that have ended may have run.
+    pub verdict: Verdict,
     /// Workers that have failed it.
     pub failed_on: Vec<WorkerId>,
     /// Bytes of the answer that were delivered.
--- a/core/src/system/liveness.rs
+++ b/core/src/system/liveness.rs
@@ -28,6 +28,14 @@
     }
 }
 
+/// Takes in that a worker has said itself that it is leaving.
+pub fn leaving(core: &mut Core, id: WorkerId, incarnation: Incarnation) {
+    seen_alive(core, id, incarnation);
+    if let Some(worker) = core.workers.get_mut(&id) {
+        worker.leaving = true;
+    }
+}
+
 /// Takes a load report in.
 pub fn load(core: &mut Core, report: LoadReport) {
     let id = report.worker;
--- a/core/src/system/request.rs
+++ b/core/src/system/request.rs
@@ -47,6 +47,7 @@
         once,
         attempt: None,
         attempts_sent: 0,
+        verdict: Verdict::NotRun,
         failed_on: Vec::new(),
         delivered_bytes: 0,
         first_token_ms: None,
@@ -189,6 +190,7 @@
     };
     let worker = request.attempt.as_ref().map(|attempt| attempt.worker);
     request.failed_on.extend(worker);
+    request.verdict = request.verdict.max(verdict);
     let once = request.once.is_some();
     let tries_left = request.attempts_sent < MAX_ATTEMPTS;
     core.end_attempt(id);
