Settle a key by the answer of its latest call alone

Cause: when binding took too long, the caller was told 'not run' and the abandoning write went out while the binding write was still under way. The answer of the binding write was then taken for that of the abandoning one, the row stayed an intent and the key was blocked for ever. Change: a use of a key remembers its latest call; answers of earlier ones don't count, as what they did shows as a conflict of the latest. Before: the regression test fails; after: it passes.

--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -226,11 +226,12 @@
         AttemptId(u128::from(self.settings.incarnation) << 64 | u128::from(self.next_attempt))
     }
 
-    pub(crate) fn record(&mut self, owner: AttemptId, what: RecordCall) {
+    pub(crate) fn record(&mut self, owner: AttemptId, what: RecordCall) -> CallId {
         self.next_call += 1;
         let call = CallId(self.next_call);
         self.calls.insert(call, owner);
         self.emit(Command::Record { call, what });
+        call
     }
 
     /// Gives a request its final answer. The verdict covers all attempts that it has had.
--- a/core/src/system/once.rs
+++ b/core/src/system/once.rs
@@ -34,6 +34,9 @@
     started_at_ms: TimeMs,
     version: Option<RowVersion>,
     retry_at_ms: Option<TimeMs>,
+    /// The latest call. The answers of earlier ones, which wrote what is no longer wanted, don't
+    /// count: what they did shows as a conflict of the latest.
+    call: Option<CallId>,
     stage: Stage,
 }
 
@@ -64,6 +67,7 @@
         started_at_ms: core.now,
         version: None,
         retry_at_ms: None,
+        call: None,
         stage: Stage::Binding { request: id },
     };
     core.once.insert(attempt, using);
@@ -95,7 +99,10 @@
         expected: using.version,
         record: Record::Once(record),
     };
-    core.record(attempt, what);
+    let call = core.record(attempt, what);
+    if let Some(using) = core.once.get_mut(&attempt) {
+        using.call = Some(call);
+    }
 }
 
 /// Takes the answer of the table service in.
@@ -106,6 +113,9 @@
     let Some(using) = core.once.get(&attempt) else {
         return;
     };
+    if using.call != Some(call) {
+        return;
+    }
     match (using.stage.clone(), answer) {
         (Stage::Sent, _) => {}
         (Stage::Binding { request }, RecordAnswer::Written(version)) => {
--- a/core/tests/promises.rs
+++ b/core/tests/promises.rs
@@ -4,7 +4,8 @@
 
 use {
     cactusspur_core::{
-        Arrival, AttemptId, Command, Core, Event, Failure, Refusal, Send, TimeMs, Verdict, VmList,
+        Arrival, AttemptId, CallId, Command, Core, DurationMs, Event, Failure, Record,
+        RecordAnswer, RecordCall, Refusal, Row, RowVersion, Send, TimeMs, Verdict, VmList,
     },
     common::{CHAT, CUSTOMERS, DISPATCH, READ},
 };
@@ -41,6 +42,34 @@
     common::arrival(request, CUSTOMERS[0], CHAT, &["rules", "question"])
 }
 
+fn dispatch(request: u64) -> Arrival {
+    Arrival {
+        once_key: Some("key".into()),
+        ..common::arrival(request, CUSTOMERS[0], DISPATCH, &["call"])
+    }
+}
+
+fn later(ms: u64) -> TimeMs {
+    START.after(DurationMs(ms))
+}
+
+/// The call to the table service: its number, the version that it expects, and what it writes.
+fn written(commands: &[Command]) -> Option<(CallId, Option<RowVersion>, Record)> {
+    commands.iter().find_map(|command| match command {
+        Command::Record {
+            call,
+            what: RecordCall::Write {
+                expected, record, ..
+            },
+        } => Some((*call, *expected, record.clone())),
+        _ => None,
+    })
+}
+
+fn record_answered(call: CallId, answer: RecordAnswer) -> Event {
+    Event::RecordAnswered { call, answer }
+}
+
 fn sent(commands: &[Command]) -> Option<Send> {
     commands.iter().find_map(|command| match command {
         Command::Send(send) => Some(send.clone()),
@@ -73,3 +102,22 @@
     let refusal = refused(&core.handle(START, refusing)).expect("refused");
     assert_eq!(refusal.verdict, Verdict::MayHaveRun);
 }
+
+#[test]
+fn a_late_bind_does_not_block_the_key() {
+    let mut core = open();
+    let bind = written(&core.handle(START, Event::Arrived(dispatch(1)))).expect("bound");
+    let overdue = core.handle(later(1_100), Event::Tick);
+    assert_eq!(refused(&overdue).expect("refused").verdict, Verdict::NotRun);
+    let abandon = written(&overdue).expect("abandoned");
+    let version = RowVersion(1);
+    let bound = record_answered(bind.0, RecordAnswer::Written(version));
+    core.handle(later(1_200), bound);
+    let row = Row {
+        version,
+        record: bind.2,
+    };
+    let conflict = record_answered(abandon.0, RecordAnswer::Conflict(Some(row)));
+    let again = written(&core.handle(later(1_200), conflict)).expect("abandoned again");
+    assert_eq!(again, (again.0, Some(version), abandon.2));
+}
