Let only a probe change a worker's life; keep what a worker says of its leaving

Four faults, each seen by the fuzzing or in review, each with a fixed sequence that failed before and passes now: - a late load report of a dead life made that life the known one again, and its late cache events would then have been believed; - a lagging list of VMs took back that a worker had said it was leaving; - a worker whose probe answer was lost stayed suspected for ever; - a worker dropped from the list left its cached pieces behind for its next life. Tried first: remembering ended lives and refusing them. The fuzzing showed the gap: a core that hears of the new life first takes the old one for newer, and would then refuse the real one for good. So only the answer to a probe, which is fresh, changes the life; a message of another life makes the worker suspected until then. After a change of life the load report counts no more: the worker starts cold.

--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -79,7 +79,8 @@
         /// The answer.
         answer: RecordAnswer,
     },
-    /// A worker was asked over a new connection whether it is alive.
+    /// A worker was asked over a new connection whether it is alive. Reported once a probe, within
+    /// 1000 ms, since it decides which of a worker's lives is the present one.
     Probed {
         /// The worker.
         worker: WorkerId,
--- a/core/src/system/liveness.rs
+++ b/core/src/system/liveness.rs
@@ -5,41 +5,73 @@
     core::Core,
     event::{CacheChange, CacheReport, LoadReport, VmList, VmRole},
     id::{CacheSequence, Incarnation, WorkerId},
-    unit::DurationMs,
+    unit::{DurationMs, TimeMs},
     worker::{Liveness, Worker},
 };
 
 /// How long a dead worker is left alone before it is asked again.
 const PROBE_INTERVAL_MS: DurationMs = DurationMs(500);
+/// How long the answer to a probe may take before the worker is asked again.
+pub const PROBE_LIMIT_MS: DurationMs = DurationMs(1_500);
+/// How long a worker is remembered that is no longer listed.
+const UNLISTED_RETENTION_MS: DurationMs = DurationMs(60_000);
 
-/// Takes the list of VMs in. A worker that is no longer listed gets no new work.
+/// Takes the list of VMs in. A worker that is no longer listed gets no new work, and is forgotten
+/// after some time.
 pub fn listed(core: &mut Core, list: &VmList) {
+    let now = core.now;
     for vm in list.vms.iter().filter(|vm| vm.role != VmRole::Entry) {
         let worker = core
             .workers
             .get_or_insert_with(vm.worker(), || Worker::listed(vm));
         worker.leaving = vm.leaving;
     }
-    let listed = |id: &WorkerId| list.vms.iter().any(|vm| vm.worker() == *id);
-    core.workers
-        .retain(|id, worker| listed(id) || worker.in_flight > 0);
     for (id, worker) in core.workers.iter_mut() {
-        worker.leaving |= !listed(id);
+        if list.vms.iter().any(|vm| vm.worker() == *id) {
+            worker.unlisted_since_ms = None;
+        } else {
+            worker.unlisted_since_ms.get_or_insert(now);
+        }
     }
+    forget_unlisted(core);
 }
 
-/// Takes in that a worker has said itself that it is leaving.
+fn forget_unlisted(core: &mut Core) {
+    let now = core.now;
+    let gone: Vec<WorkerId> = core
+        .workers
+        .iter()
+        .filter(|(_, worker)| worker.in_flight == 0)
+        .filter(|(_, worker)| {
+            worker
+                .unlisted_since_ms
+                .is_some_and(|since| now.since(since) > UNLISTED_RETENTION_MS)
+        })
+        .map(|row| *row.0)
+        .collect();
+    for worker in gone {
+        core.workers.remove(&worker);
+        core.cache.forget(worker);
+    }
+}
+
+/// Takes in that a worker has said itself that it is leaving. It holds for that life, whatever the
+/// list of VMs says.
 pub fn leaving(core: &mut Core, id: WorkerId, incarnation: Incarnation) {
-    seen_alive(core, id, incarnation);
+    if !seen_alive(core, id, incarnation) {
+        return;
+    }
     if let Some(worker) = core.workers.get_mut(&id) {
-        worker.leaving = true;
+        worker.said_leaving = true;
     }
 }
 
 /// Takes a load report in.
 pub fn load(core: &mut Core, report: LoadReport) {
     let id = report.worker;
-    seen_alive(core, id, report.incarnation);
+    if !seen_alive(core, id, report.incarnation) {
+        return;
+    }
     let Some(worker) = core.workers.get_mut(&id) else {
         return;
     };
@@ -91,7 +123,7 @@
 pub fn probed(core: &mut Core, id: WorkerId, incarnation: Option<Incarnation>) {
     let probe_at_ms = core.now.after(PROBE_INTERVAL_MS);
     if let Some(incarnation) = incarnation {
-        seen_alive(core, id, incarnation);
+        answered_probe(core, id, incarnation);
     } else if let Some(worker) = core.workers.get_mut(&id) {
         worker.liveness = Liveness::Dead { probe_at_ms };
     }
@@ -111,8 +143,24 @@
     core.emit(Command::Probe { worker: id });
 }
 
-/// Notes a sign of life of a worker. Another life than the known one starts with an empty cache.
-pub fn seen_alive(core: &mut Core, id: WorkerId, incarnation: Incarnation) {
+/// Notes a message of a worker's life, which may be late. Returns whether it is the known one. When
+/// it isn't, a probe decides which life has ended, and until then the worker gets no new work.
+pub fn seen_alive(core: &mut Core, id: WorkerId, incarnation: Incarnation) -> bool {
+    let Some(worker) = core.workers.get_mut(&id) else {
+        return false;
+    };
+    let known = *worker.incarnation.get_or_insert(incarnation);
+    if known != incarnation {
+        suspect(core, id);
+        return false;
+    }
+    worker.liveness = Liveness::Alive;
+    core.cache.set_incarnation(id, incarnation);
+    true
+}
+
+/// Takes in the life that has answered a probe. Another than the known one starts empty.
+fn answered_probe(core: &mut Core, id: WorkerId, incarnation: Incarnation) {
     let Some(worker) = core.workers.get_mut(&id) else {
         return;
     };
@@ -121,25 +169,35 @@
         return;
     }
     worker.incarnation = Some(incarnation);
+    worker.said_leaving = false;
+    worker.load = None;
     worker.sent.clear();
     core.cache.set_incarnation(id, incarnation);
 }
 
-/// Asks dead workers again.
+/// Asks again the workers that are dead, and those whose probe was not answered.
 pub fn tick(core: &mut Core) {
     let now = core.now;
     let due: Vec<WorkerId> = core
         .workers
         .iter_mut()
-        .filter_map(|(id, worker)| match &mut worker.liveness {
-            Liveness::Dead { probe_at_ms } if *probe_at_ms <= now => {
-                *probe_at_ms = now.after(PROBE_INTERVAL_MS);
-                Some(*id)
-            }
-            _ => None,
-        })
+        .filter_map(|(id, worker)| probe_due(worker, now).then_some(*id))
         .collect();
     for worker in due {
         core.emit(Command::Probe { worker });
     }
 }
+
+fn probe_due(worker: &mut Worker, now: TimeMs) -> bool {
+    match &mut worker.liveness {
+        Liveness::Dead { probe_at_ms } if *probe_at_ms <= now => {
+            *probe_at_ms = now.after(PROBE_INTERVAL_MS);
+            true
+        }
+        Liveness::Suspected { since_ms } if now.since(*since_ms) > PROBE_LIMIT_MS => {
+            *since_ms = now;
+            true
+        }
+        _ => false,
+    }
+}
--- a/core/src/worker.rs
+++ b/core/src/worker.rs
@@ -35,8 +35,12 @@
     pub domain: DomainId,
     /// The service that it offers, if it is a plain service.
     pub service: Option<ServiceId>,
-    /// Whether it is leaving, by the list of VMs or by its own refusal.
+    /// Whether it is leaving, by the list of VMs.
     pub leaving: bool,
+    /// Whether its present life has said itself that it is leaving.
+    pub said_leaving: bool,
+    /// Since when the list of VMs lacks it.
+    pub unlisted_since_ms: Option<TimeMs>,
     /// How alive it is believed to be.
     pub liveness: Liveness,
     /// Its life, once it is known.
@@ -61,6 +65,8 @@
             domain: vm.domain(),
             service: vm.role.service(),
             leaving: vm.leaving,
+            said_leaving: false,
+            unlisted_since_ms: None,
             liveness: Liveness::Alive,
             incarnation: None,
             load: None,
@@ -73,7 +79,8 @@
     /// Whether new work may be sent to it.
     #[must_use]
     pub fn takes_work(&self) -> bool {
-        !self.leaving && self.liveness == Liveness::Alive
+        let leaves = self.leaving || self.said_leaving || self.unlisted_since_ms.is_some();
+        !leaves && self.liveness == Liveness::Alive
     }
 
     /// The weights of `model` that it has loaded, if any.
--- a/core/tests/promises.rs
+++ b/core/tests/promises.rs
@@ -4,35 +4,40 @@
 
 use {
     cactusspur_core::{
-        Arrival, AttemptId, CallId, Command, Core, DurationMs, Event, Failure, Record,
-        RecordAnswer, RecordCall, Refusal, Row, RowVersion, Send, TimeMs, Verdict, VmList,
+        Arrival, AttemptId, CacheChange, CacheReport, CacheSequence, CallId, Command, Core,
+        DurationMs, Event, Failure, Incarnation, PrefixChain, Record, RecordAnswer, RecordCall,
+        Refusal, Row, RowVersion, Send, TimeMs, Verdict, VmList, WorkerId,
     },
     common::{CHAT, CUSTOMERS, DISPATCH, READ},
 };
 
 const START: TimeMs = TimeMs(1_000_000);
+const ENGINES: [&str; 2] = ["engine-a", "engine-b"];
+const SERVICES: [(&str, &str); 4] = [
+    ("dispatch-a", DISPATCH),
+    ("dispatch-b", DISPATCH),
+    ("read-a", READ),
+    ("read-b", READ),
+];
+
+fn vms() -> VmList {
+    let services = SERVICES.map(|(name, service)| common::vm(name, "a", Some(service), false));
+    let engines = ENGINES.map(|name| common::vm(name, "a", None, false));
+    VmList {
+        vms: services.into_iter().chain(engines).collect(),
+    }
+}
 
 /// A core that knows two engines and two plain services of each kind, all alive.
 fn open() -> Core {
     let mut core = common::core("entry-a", "a", 1);
-    let services = [
-        ("dispatch-a", DISPATCH),
-        ("dispatch-b", DISPATCH),
-        ("read-a", READ),
-        ("read-b", READ),
-    ];
-    let mut vms: Vec<_> = services
-        .iter()
-        .map(|(name, service)| common::vm(name, "a", Some(service), false))
-        .collect();
-    vms.extend(["engine-a", "engine-b"].map(|name| common::vm(name, "a", None, false)));
     core.handle(START, Event::Configured(common::configuration(1)));
-    core.handle(START, Event::Vms(VmList { vms }));
-    for engine in ["engine-a", "engine-b"] {
+    core.handle(START, Event::Vms(vms()));
+    for engine in ENGINES {
         let report = common::load(engine, 1, START, Some(common::weights(1)));
         core.handle(START, Event::Load(report));
     }
-    for (service, _) in services {
+    for (service, _) in SERVICES {
         core.handle(START, Event::Load(common::load(service, 1, START, None)));
     }
     core
@@ -121,3 +126,86 @@
     let again = written(&core.handle(later(1_200), conflict)).expect("abandoned again");
     assert_eq!(again, (again.0, Some(version), abandon.2));
 }
+
+fn probes(commands: &[Command], worker: &str) -> bool {
+    let worker = WorkerId::of(worker);
+    commands.contains(&Command::Probe { worker })
+}
+
+fn takes_work(core: &Core, name: &str) -> bool {
+    let mut workers = core.workers();
+    workers.any(|worker| worker.id == WorkerId::of(name) && worker.takes_work())
+}
+
+#[test]
+fn a_lagging_list_does_not_bring_a_leaving_worker_back() {
+    let mut core = open();
+    let leaving = Event::WorkerLeaving {
+        worker: WorkerId::of("engine-a"),
+        incarnation: Incarnation(1),
+    };
+    core.handle(START, leaving);
+    core.handle(later(100), Event::Vms(vms()));
+    assert!(!takes_work(&core, "engine-a"));
+    let probed = Event::Probed {
+        worker: WorkerId::of("engine-a"),
+        incarnation: Some(Incarnation(2)),
+    };
+    core.handle(later(200), probed);
+    assert!(takes_work(&core, "engine-a"));
+}
+
+#[test]
+fn a_late_report_does_not_bring_a_dead_life_back() {
+    let mut core = open();
+    let probed = Event::Probed {
+        worker: WorkerId::of("engine-a"),
+        incarnation: Some(Incarnation(2)),
+    };
+    core.handle(START, probed);
+    let report = common::load("engine-a", 1, later(1), Some(common::weights(1)));
+    let asked = core.handle(later(2), Event::Load(report));
+    assert!(probes(&asked, "engine-a"));
+    let mut workers = core.workers();
+    assert!(workers.any(|worker| worker.incarnation == Some(Incarnation(2))));
+}
+
+#[test]
+fn a_lost_probe_answer_does_not_leave_a_worker_suspected() {
+    let mut core = open();
+    let first = sent(&core.handle(START, Event::Arrived(chat(1)))).expect("sent");
+    let broken = failed(first.attempt, Verdict::MayHaveRun, Failure::Broken);
+    core.handle(START, broken);
+    let asked = core.handle(later(2_000), Event::Tick);
+    let worker = first.worker;
+    assert!(asked.contains(&Command::Probe { worker }));
+}
+
+#[test]
+fn a_forgotten_worker_leaves_no_cached_pieces() {
+    let mut core = open();
+    let text = "rules ".repeat(100);
+    let arrival = common::arrival(1, CUSTOMERS[0], CHAT, &[&text]);
+    let commands = core.handle(START, Event::Arrived(arrival.clone()));
+    let send = sent(&commands).expect("sent");
+    let chain = PrefixChain::of(send.scope.expect("a scope"), &arrival.levels);
+    let report = CacheReport {
+        worker: send.worker,
+        incarnation: Incarnation(1),
+        first_sequence: CacheSequence(0),
+        changes: chain
+            .pieces
+            .iter()
+            .copied()
+            .map(CacheChange::Stored)
+            .collect(),
+    };
+    core.handle(START, Event::Cache(report));
+    assert!(core.believed_cached(send.worker, &chain).0 > 0);
+    let request = arrival.request;
+    core.handle(START, Event::CallerLeft { request });
+    core.handle(later(1), Event::Vms(VmList::default()));
+    core.handle(later(100_000), Event::Vms(VmList::default()));
+    assert_eq!(core.workers().count(), 0);
+    assert_eq!(core.believed_cached(send.worker, &chain).0, 0);
+}
