--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -79,7 +79,8 @@
         /// The answer.
         answer: RecordAnswer,
     },
-    /// A worker was asked over a new connection whether it is alive.
+    /// A worker was asked over a new connection whether it is alive. Reported once a probe, within
+    /// 1000 ms, since it decides which of a worker's lives is the present one.
     Probed {
         /// The worker.
         worker: WorkerId,
@@ -95,6 +96,13 @@
     /// A worker's whole cache was read.
     #[from]
     CacheSnapshot(CacheSnapshot),
+    /// A worker has said itself that it is leaving.
+    WorkerLeaving {
+        /// The worker.
+        worker: WorkerId,
+        /// Its life.
+        incarnation: Incarnation,
+    },
     /// The platform's list of VMs was read.
     #[from]
     Vms(VmList),
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -6,6 +6,7 @@
     id::{AttemptId, ClassId, CustomerId, Incarnation, OnceKey, RequestId, WorkerId},
     prefix::{PrefixChain, PrefixScope},
     unit::{DurationMs, MicroCredits, TimeMs, Tokens},
+    verdict::Verdict,
 };
 
 /// A request in progress.
@@ -29,6 +30,8 @@
     pub attempt: Option<Attempt>,
     /// Attempts that were sent.
     pub attempts_sent: u32,
+    /// Whether any of its attempts that have ended may have run.
+    pub verdict: Verdict,
     /// Workers that have failed it.
     pub failed_on: Vec<WorkerId>,
     /// Bytes of the answer that were delivered.
--- a/core/src/system/request.rs
+++ b/core/src/system/request.rs
@@ -49,6 +49,7 @@
         charges: Vec::new(),
         attempt: None,
         attempts_sent: 0,
+        verdict: Verdict::NotRun,
         failed_on: Vec::new(),
         delivered_bytes: 0,
         first_token_ms: None,
@@ -210,6 +211,7 @@
     };
     let worker = request.attempt.as_ref().map(|attempt| attempt.worker);
     request.failed_on.extend(worker);
+    request.verdict = request.verdict.max(verdict);
     let once = request.once.is_some();
     let tries_left = request.attempts_sent < MAX_ATTEMPTS;
     placement::failed(core, id);
--- a/src/worker_link.rs
+++ b/src/worker_link.rs
@@ -4,9 +4,9 @@
     crate::{driver::Driver, openai::ChatRequest},
     bytes::Bytes,
     cactusspur_core::{
-        AttemptId, CacheChange, CacheReport, CacheSequence, ClassId, CustomerId, Event, Failure,
-        Incarnation, LoadReport, MicroCredits, ModelId, PieceHash, Send, ServedBy, TimeMs, Tokens,
-        TokensPerSecond, Verdict, WeightsVersion, WorkerId,
+        AttemptId, CacheChange, CacheReport, CacheSequence, CacheSnapshot, ClassId, CustomerId,
+        Event, Failure, Incarnation, LoadReport, MicroCredits, ModelId, PieceHash, Send, ServedBy,
+        TimeMs, Tokens, TokensPerSecond, Verdict, WeightsVersion, WorkerId,
     },
     futures::StreamExt,
     ntex::{
@@ -122,6 +122,8 @@
     price_microcredits: MicroCredits,
     models: Vec<LoadedModel>,
     cache_pieces: u64,
+    #[serde(default)]
+    leaving: bool,
 }
 
 #[derive(Deserialize)]
@@ -131,6 +133,22 @@
     changes: Vec<CacheChange>,
 }
 
+#[derive(Deserialize)]
+struct SnapshotBody {
+    incarnation: Incarnation,
+    next_sequence: CacheSequence,
+    pieces: Vec<PieceHash>,
+}
+
+/// How far the cache events of a worker's life have been read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CachePosition {
+    /// The life.
+    pub incarnation: Incarnation,
+    /// The next event to read.
+    pub next: CacheSequence,
+}
+
 /// The links to workers. It belongs to one thread.
 #[derive(Clone)]
 pub struct WorkerLink {
@@ -302,6 +320,23 @@
         });
     }
 
+    /// Asks a worker for its whole cache.
+    pub async fn read_cache(&self, worker: WorkerId) {
+        let Some(address) = self.driver.address(worker) else {
+            return;
+        };
+        let url = format!("http://{address}/v1/cache");
+        let Some(body) = get::<SnapshotBody>(&self.client, &url).await else {
+            return;
+        };
+        self.driver.handle(Event::CacheSnapshot(CacheSnapshot {
+            worker,
+            incarnation: body.incarnation,
+            next_sequence: body.next_sequence,
+            pieces: body.pieces,
+        }));
+    }
+
     async fn health(&self, worker: WorkerId) -> Option<Incarnation> {
         let address = self.driver.address(worker)?;
         let url = format!("http://{address}/v1/health");
@@ -318,6 +353,100 @@
         else {
             return;
         };
+        if load.leaving {
+            let incarnation = load.incarnation;
+            self.driver.handle(Event::WorkerLeaving {
+                worker,
+                incarnation,
+            });
+        }
+        let models = load.models.iter().map(|model| {
+            let adapter = model.adapter.as_deref().unwrap_or_default();
+            (
+                ModelId::of(&format!("{}/{adapter}", model.name)),
+                model.weights_version,
+            )
+        });
+        self.driver.handle(Event::Load(LoadReport {
+            worker,
+            incarnation: load.incarnation,
+            observed_at_ms: load.observed_at_ms,
+            queued_tokens: load.queued_tokens,
+            running: load.running,
+            slots: load.slots,
+            prefill_rate: load.prefill_rate,
+            import_rate: load.import_rate,
+            price_microcredits: load.price_microcredits,
+            models: models.collect(),
+            cache_pieces: load.cache_pieces,
+        }));
+    }
+
+    /// Asks a worker for the changes of its cache from a position on. Returns where to go on from.
+    pub async fn poll_cache(&self, worker: WorkerId, from: CachePosition) -> CachePosition {
+        let Some(address) = self.driver.address(worker) else {
+            return from;
+        };
+        let url = format!("http://{address}/v1/cache-events?after={}", from.next);
+        let Some(body) = get::<CacheBody>(&self.client, &url).await else {
+            return from;
+        };
+        if body.incarnation != from.incarnation {
+            return CachePosition {
+                incarnation: body.incarnation,
+                next: CacheSequence(0),
+            };
+        }
+        let next = CacheSequence(body.first_sequence.0 + body.changes.len() as u64);
+        self.driver.handle(Event::Cache(CacheReport {
+            worker,
+            incarnation: body.incarnation,
+            first_sequence: body.first_sequence,
+            changes: body.changes,
+        }));
+        CachePosition { next, ..from }
+    }
+
+    /// Asks a worker for its whole cache.
+    pub async fn read_cache(&self, worker: WorkerId) {
+        let Some(address) = self.driver.address(worker) else {
+            return;
+        };
+        let url = format!("http://{address}/v1/cache");
+        let Some(body) = get::<SnapshotBody>(&self.client, &url).await else {
+            return;
+        };
+        self.driver.handle(Event::CacheSnapshot(CacheSnapshot {
+            worker,
+            incarnation: body.incarnation,
+            next_sequence: body.next_sequence,
+            pieces: body.pieces,
+        }));
+    }
+
+    async fn health(&self, worker: WorkerId) -> Option<Incarnation> {
+        let address = self.driver.address(worker)?;
+        let url = format!("http://{address}/v1/health");
+        let health: HealthBody = get(&new_client().await, &url).await?;
+        Some(health.incarnation)
+    }
+
+    /// Asks a worker for its load.
+    pub async fn poll_load(&self, worker: WorkerId) {
+        let Some(address) = self.driver.address(worker) else {
+            return;
+        };
+        let Some(load) = get::<LoadBody>(&self.client, &format!("http://{address}/v1/load")).await
+        else {
+            return;
+        };
+        if load.leaving {
+            let incarnation = load.incarnation;
+            self.driver.handle(Event::WorkerLeaving {
+                worker,
+                incarnation,
+            });
+        }
         let models = load.models.iter().map(|model| {
             let adapter = model.adapter.as_deref().unwrap_or_default();
             (
