--- a/standins/src/bin/cactusspur-load.rs
+++ b/standins/src/bin/cactusspur-load.rs
@@ -59,7 +59,10 @@
     /// The seed of the schedule.
     #[arg(long, default_value_t = 7)]
     seed: u64,
-    /// How long requests are sent in each run, in seconds.
+    /// How long requests are sent before those that count, in seconds.
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(0..=60))]
+    warm_up_seconds: u64,
+    /// How long requests are sent that count in each run, in seconds.
     #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(2..=120))]
     seconds: u64,
     /// Chats a second in place of the workload's own rate.
@@ -104,6 +107,7 @@
             repeats: self.repeats,
             seed: self.seed,
             duration: Duration::from_secs(self.seconds),
+            warm_up: Duration::from_secs(self.warm_up_seconds),
             rate_per_s: self.rate,
             entry_vms: self.entry_vms,
         }
--- a/standins/src/load/run.rs
+++ b/standins/src/load/run.rs
@@ -6,7 +6,7 @@
         cluster::{Cluster, ClusterError, ClusterPlan},
         engine_shape::EngineShape,
         measure::{Observed, RunRecord},
-        number::float,
+        number::{float, micros_of},
         outcome::{End, Outcome},
         policy::Policy,
         report::{Report as LoadReport, hit_rate},
@@ -37,8 +37,10 @@
     pub repeats: u32,
     /// The seed of the schedule.
     pub seed: u64,
-    /// How long requests are sent.
+    /// How long requests are sent that are counted.
     pub duration: Duration,
+    /// How long requests are sent before, to fill the engines' caches.
+    pub warm_up: Duration,
     /// Chats a second in place of the workload's own rate.
     pub rate_per_s: Option<f64>,
     /// Entry VMs.
@@ -90,6 +92,7 @@
             workload: self.workload,
             seed: self.seed,
             duration: self.duration,
+            warm_up: self.warm_up,
             rate_per_s,
             hot_prefix_moves: self.scenario.hot_prefix_moves(),
         })
@@ -117,6 +120,7 @@
             scenario: self.scenario,
             seed: self.seed,
             seconds: self.duration.as_secs(),
+            warm_up_seconds: self.warm_up.as_secs(),
             rate_per_s: prepared.rate_per_s,
             capacity_per_s: prepared.capacity_per_s,
             entry_vms: self.entry_vms,
@@ -129,8 +133,9 @@
 
     fn cluster_plan(&self, policy: Policy) -> ClusterPlan {
         let lapsing = (self.scenario == Scenario::CreditsNearLapse).then(|| {
-            let amount = LAPSING_MICROCREDITS_PER_S * self.duration.as_secs();
-            (MicroCredits(amount), self.duration.mul_f64(LAPSE_AT))
+            let amount = LAPSING_MICROCREDITS_PER_S * (self.warm_up + self.duration).as_secs();
+            let after = self.warm_up + self.duration.mul_f64(LAPSE_AT);
+            (MicroCredits(amount), after)
         });
         let entry_vms = if policy == Policy::Cactusspur {
             self.entry_vms
@@ -168,14 +173,16 @@
         ));
         let started = Instant::now() + START_AFTER;
         let steps = self.scenario.steps(self.duration);
+        let counted_from = started + self.warm_up;
         let playing = play(&prepared.schedule, &sender, started);
         let (outcomes, acted) =
-            futures::join!(playing, follow_steps(&mut cluster, &steps, started));
+            futures::join!(playing, follow_steps(&mut cluster, &steps, counted_from));
         acted?;
         let observed = Observed {
             schedule: &prepared.schedule,
             unbounded: &prepared.unbounded,
             outcomes: &outcomes,
+            counted_from_us: micros_of(self.warm_up),
             fault_at: self.scenario.fault_at(self.duration),
         };
         let mut record = observed.record(policy, repeat);
@@ -238,5 +245,6 @@
 #[must_use]
 pub fn longest_s(experiment: &Experiment) -> f64 {
     let runs = experiment.policies.len() as u64 * u64::from(experiment.repeats);
-    float(runs) * (experiment.duration + REQUEST_TIMEOUT + START_AFTER).as_secs_f64()
+    float(runs)
+        * (experiment.warm_up + experiment.duration + REQUEST_TIMEOUT + START_AFTER).as_secs_f64()
 }
--- a/standins/tests/load.rs
+++ b/standins/tests/load.rs
@@ -26,6 +26,7 @@
         workload,
         seed: 7,
         duration: Duration::from_secs(10),
+        warm_up: Duration::ZERO,
         rate_per_s: 40.0,
         hot_prefix_moves: false,
     }
@@ -234,6 +235,7 @@
         schedule: &schedule,
         unbounded: &unbounded(&schedule),
         outcomes: &outcomes,
+        counted_from_us: 0,
         fault_at: None,
     };
     let record = observed.record(Policy::RoundRobin, 0);
@@ -256,6 +258,7 @@
         schedule: &schedule,
         unbounded: &unbounded(&schedule),
         outcomes: &outcomes,
+        counted_from_us: 0,
         fault_at: None,
     };
     let report = Report {
@@ -263,6 +266,7 @@
         scenario: Scenario::Steady,
         seed: 7,
         seconds: 1,
+        warm_up_seconds: 0,
         rate_per_s: 4.0,
         capacity_per_s: 100.0,
         entry_vms: 3,
