Show the whole path with one command

Cause: a stranger had no way to see the system run. Ruled out: a shell script that sends requests itself (it would need tools besides the toolchain). The load tool's workloads take the example declarations' names, so that the examples are what is measured. `beside` finds programs from test binaries too.

--- a/standins/src/bin/cactusspur-load.rs
+++ b/standins/src/bin/cactusspur-load.rs
@@ -1,20 +1,24 @@
 //! Plays traffic against a cluster that it brings up on loopback, and compares policies.
 
 use {
-    cactusspur_standins::load::{
-        measure::RunRecord,
-        plot,
-        policy::Policy,
-        report::Report as LoadReport,
-        rest::{self, RestReport},
-        run::Experiment,
-        scenario::Scenario,
-        workload::Workload,
+    cactusspur_standins::{
+        demo,
+        load::{
+            measure::RunRecord,
+            plot,
+            policy::Policy,
+            report::Report as LoadReport,
+            rest::{self, RestReport},
+            run::Experiment,
+            scenario::Scenario,
+            workload::Workload,
+        },
     },
     clap::{Args, Parser, Subcommand},
     derive_more::Display,
     error_stack::{Report, ResultExt},
     std::{fs, path::PathBuf, process::ExitCode, time::Duration},
+    tokio::signal::unix::{SignalKind, signal},
 };
 
 /// The experiment could not be made or saved.
@@ -36,6 +40,21 @@
 enum Command {
     /// Brings clusters up on loopback and runs each policy in turn.
     Run(RunArguments),
+    /// Shows the whole path: a cluster, the operators' commands, a few dozen requests.
+    Demo(DemoArguments),
+}
+
+#[derive(Debug, Args)]
+struct DemoArguments {
+    /// Whose declarations and traffic.
+    #[arg(long, default_value = "trust")]
+    workload: Workload,
+    /// Leave the cluster up until this program is stopped.
+    #[arg(long)]
+    keep: bool,
+    /// The folder with the example declarations.
+    #[arg(long, default_value = "examples")]
+    examples: PathBuf,
 }
 
 #[derive(Debug, Args)]
@@ -153,11 +172,34 @@
     );
 }
 
+/// Waits for a signal to stop.
+async fn stop_signal() {
+    let signals = [SignalKind::terminate(), SignalKind::interrupt()].map(signal);
+    let [Ok(mut terminate), Ok(mut interrupt)] = signals else {
+        return std::future::pending().await;
+    };
+    let terminated = std::pin::pin!(terminate.recv());
+    let interrupted = std::pin::pin!(interrupt.recv());
+    futures::future::select(terminated, interrupted).await;
+}
+
+async fn obey(command: Command) -> Result<(), Report<ExperimentError>> {
+    match command {
+        Command::Run(arguments) => run(&arguments).await,
+        Command::Demo(DemoArguments {
+            workload,
+            keep,
+            examples,
+        }) => demo::run(workload, &examples, keep)
+            .await
+            .change_context(ExperimentError),
+    }
+}
+
 #[ntex::main]
 async fn main() -> ExitCode {
-    let Command::Run(arguments) = Arguments::parse().command;
-    let running = std::pin::pin!(run(&arguments));
-    let stopped = std::pin::pin!(ntex::server::signal());
+    let running = std::pin::pin!(obey(Arguments::parse().command));
+    let stopped = std::pin::pin!(stop_signal());
     match futures::future::select(running, stopped).await {
         futures::future::Either::Left((Ok(()), _)) => ExitCode::SUCCESS,
         futures::future::Either::Left((Err(report), _)) => {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! `docs/STANDINS.md` lists the command lines and the faults; `docs/PROTOCOLS.md` has the wire.
 
+pub mod demo;
 pub mod engine;
 pub mod fault;
 pub mod load;
--- a/standins/src/load/cluster.rs
+++ b/standins/src/load/cluster.rs
@@ -170,6 +170,52 @@
         addresses(&self.entries, |entry| &entry.callers)
     }
 
+    /// Where operators reach its entry VMs.
+    #[must_use]
+    pub fn operator_addresses(&self) -> Vec<String> {
+        addresses(&self.entries, |entry| &entry.operators)
+    }
+
+    /// Where its platform is.
+    #[must_use]
+    pub fn platform_address(&self) -> &str {
+        &self.platform.address
+    }
+
+    /// The attempts that its plain services have run with an idempotency key.
+    pub async fn runs_of(&self, key: &str) -> usize {
+        let mut runs = 0;
+        for service in &self.services {
+            let log = self.get(&service.address, "/standin/log").await;
+            let entries = log.and_then(|log| log["entries"].as_array().cloned());
+            let with_key = |entry: &&Value| entry["key"] == key;
+            runs += entries.unwrap_or_default().iter().filter(with_key).count();
+        }
+        runs
+    }
+
+    /// Waits until each entry VM has a generation in force.
+    ///
+    /// # Errors
+    /// When one hasn't in time.
+    pub async fn in_force(&self, generation: Generation) -> Result<(), Report<ClusterError>> {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        for entry in &self.entries {
+            while self.generation_of(entry).await < Some(generation.0) {
+                if Instant::now() >= deadline {
+                    return Err(Report::new(failed("configuration not in force in time")));
+                }
+                tokio::time::sleep(READY_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn generation_of(&self, entry: &Entry) -> Option<u64> {
+        let status = self.get(&entry.operators, "/status").await?;
+        status["generation"].as_u64()
+    }
+
     /// Its engines' addresses.
     #[must_use]
     pub fn engine_addresses(&self) -> Vec<String> {
--- a/standins/src/load/process.rs
+++ b/standins/src/load/process.rs
@@ -45,11 +45,10 @@
         program: program.to_owned(),
     };
     let own = std::env::current_exe().change_context_lazy(failed)?;
-    let path = own.with_file_name(program);
-    if path.is_file() {
-        return Ok(path);
-    }
-    Err(Report::new(failed()).attach(format!("no {}: build the workspace first", path.display())))
+    let folders = own.ancestors().skip(1).take(2);
+    let mut paths = folders.map(|folder| folder.join(program));
+    let found = paths.find(|path| path.is_file());
+    found.ok_or_else(|| Report::new(failed()).attach("build the workspace first"))
 }
 
 impl Process {
--- a/standins/src/load/run.rs
+++ b/standins/src/load/run.rs
@@ -215,7 +215,7 @@
 }
 
 /// Sends each request at its time, whatever has become of the earlier ones.
-async fn play(schedule: &Schedule, sender: &Rc<Sender>, started: Instant) -> Vec<Outcome> {
+pub async fn play(schedule: &Schedule, sender: &Rc<Sender>, started: Instant) -> Vec<Outcome> {
     let follower = sender.clone();
     let following = ntex::rt::spawn(async move { follower.follow_loads().await });
     let mut running = Vec::with_capacity(schedule.requests.len());
--- a/standins/src/load/workload.rs
+++ b/standins/src/load/workload.rs
@@ -55,25 +55,25 @@
 }
 
 const TRUST_CUSTOMERS: [CustomerShape; 8] = [
-    customer("goldsmiths-row", 30),
-    customer("couples-at-home", 24),
-    customer("volunteer-advisors", 16),
-    customer("bench-north", 6),
-    customer("bench-south", 6),
-    customer("bench-east", 6),
-    customer("bench-west", 6),
-    customer("archive", 6),
+    customer("alder-advisors", 30),
+    customer("bayside-advisors", 24),
+    customer("cedar-couples", 16),
+    customer("dune-jewellers", 6),
+    customer("elm-jewellers", 6),
+    customer("fern-volunteers", 6),
+    customer("grove-volunteers", 6),
+    customer("house-desk", 6),
 ];
 
 const KITAHAMA_CUSTOMERS: [CustomerShape; 8] = [
-    customer("sapporo-markets", 32),
-    customer("kushiro-fishery", 22),
-    customer("asahikawa-stores", 16),
-    customer("otaru-warehouses", 6),
-    customer("obihiro-dairy", 6),
-    customer("kitami-stores", 6),
-    customer("hakodate-markets", 6),
-    customer("abashiri-fishery", 6),
+    customer("sapporo-supermarkets", 32),
+    customer("asahikawa-supermarkets", 22),
+    customer("kushiro-fishery", 16),
+    customer("sapporo-convenience", 6),
+    customer("asahikawa-convenience", 6),
+    customer("kushiro-warehouses", 6),
+    customer("otaru-fishery", 6),
+    customer("night-desk", 6),
 ];
 
 const fn model_class(
@@ -151,8 +151,8 @@
     #[must_use]
     pub fn model(self) -> Model {
         let name = match self {
-            Self::Trust => "bands",
-            Self::Kitahama => "triage",
+            Self::Trust => "heirloom",
+            Self::Kitahama => "kitahama",
         };
         Model {
             name: name.to_owned(),
@@ -246,7 +246,7 @@
 /// The API key of a customer of the load tool.
 #[must_use]
 pub fn api_key(customer: &str) -> String {
-    format!("load-{customer}")
+    format!("KEY-{customer}")
 }
 
 fn declared_customer(customer: CustomerShape, grants: &[CreditGrant]) -> Customer {
