Prove promises with real processes

Cause: the promises were shown on the core alone. Ruled out: a limit of 100 connections a host in the HTTP client (its default) would have queued streams; the links now have none. Change: standins/tests/system: streams through crash, silence, late and doubled pieces; callers that leave; holds through two entry VMs with lost answers, with a killed owner, with the table service down; herd restart; planned stop; leaving engines; no io_uring descriptor.

--- a/src/worker_link.rs
+++ b/src/worker_link.rs
@@ -11,7 +11,7 @@
     futures::StreamExt,
     ntex::{
         SharedCfg,
-        client::{Client, ClientResponse, error::ClientError},
+        client::{Client, ClientResponse, Connector, error::ClientError},
         http::StatusCode,
         time::{Millis, timeout},
     },
@@ -411,6 +411,7 @@
 /// A client without connections, so that its first call opens one.
 async fn new_client() -> Client {
     match Client::builder()
+        .connector::<()>(Connector::new().limit(0))
         .disable_timeout()
         .build(SharedCfg::new("worker-link"))
         .await
--- a/standins/src/load/cluster.rs
+++ b/standins/src/load/cluster.rs
@@ -1,12 +1,15 @@
 //! A whole cluster as processes on loopback: stand-ins, and entry VMs where a policy needs them.
 
 use {
-    crate::load::{
-        call::open_client,
-        engine_shape::{ENGINES, EngineShape},
-        process::{Process, Signal, beside},
-        scenario::{Action, Target},
-        workload::{Workload, lasting_grant},
+    crate::{
+        load::{
+            call::open_client,
+            engine_shape::{ENGINES, EngineShape},
+            process::{Process, Signal, beside},
+            scenario::{Action, Target},
+            workload::{Workload, lasting_grant},
+        },
+        log::LogEntry,
     },
     cactusspur_core::{Configuration, CreditGrant, Generation, MicroCredits, TimeMs, Vm, VmRole},
     derive_more::{Add, AddAssign, Display, Error, Sum},
@@ -182,6 +185,35 @@
         &self.platform.address
     }
 
+    /// The process of an entry VM.
+    pub fn entry_process(&mut self, entry: usize) -> Option<&mut Process> {
+        self.entries.get_mut(entry).map(|entry| &mut entry.process)
+    }
+
+    /// Starts an entry VM's process again, on the same addresses, and kills the one before.
+    ///
+    /// # Errors
+    /// When it can't be started.
+    pub fn restart_entry(&mut self, entry: usize) -> Result<(), Report<ClusterError>> {
+        let Some(entry) = self.entries.get_mut(entry) else {
+            return Err(Report::new(failed("no such entry VM")));
+        };
+        entry.process.kill();
+        entry.process = daemon(&entry.settings)?;
+        Ok(())
+    }
+
+    /// What the engines have run, in no order.
+    pub async fn engine_log(&self) -> Vec<LogEntry> {
+        let mut entries = Vec::new();
+        for engine in &self.engines {
+            let log = self.get(&engine.address, "/standin/log").await;
+            let log = log.and_then(|log| serde_json::from_value(log["entries"].clone()).ok());
+            entries.extend(log.unwrap_or_else(Vec::new));
+        }
+        entries
+    }
+
     /// The attempts that its plain services have run with an idempotency key.
     pub async fn runs_of(&self, key: &str) -> usize {
         let mut runs = 0;
--- a/standins/src/load/process.rs
+++ b/standins/src/load/process.rs
@@ -34,6 +34,9 @@
     /// Go on.
     #[display("CONT")]
     Continue,
+    /// Shut down gracefully.
+    #[display("TERM")]
+    Terminate,
 }
 
 /// The path of a program beside this one.
@@ -119,6 +122,11 @@
         Err(Report::new(failed()))
     }
 
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Kills it and waits for its end.
     pub fn kill(&mut self) {
         self.child.kill().ok();
