Read streams to their end before their connections are used again

Cause: 2 to 6 of 1550 requests timed out after 15 s under baselines that know no entry VM, and the engines had never seen them. Ruled out: engines (attempts equal finished, none cancelled). A response dropped after its last event but before the end of its body gives its connection back with unread bytes.

--- a/standins/src/load/call.rs
+++ b/standins/src/load/call.rs
@@ -154,6 +154,7 @@
     let mut lines = DataLines::open(response);
     while let Some(line) = lines.next().await {
         if line == b"[DONE]" {
+            lines.drain().await;
             return timing.complete();
         }
         let Ok(event) = serde_json::from_slice::<Value>(&line) else {
@@ -248,6 +249,7 @@
             Some("piece") => timing.part(),
             Some("finished") => {
                 timing.outcome.answer_tokens = event["answer_tokens"].as_u64().unwrap_or_default();
+                lines.drain().await;
                 return timing.complete();
             }
             _ => return timing.fail("malformed".to_owned()),
--- a/standins/src/load/sse.rs
+++ b/standins/src/load/sse.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Reads to the end of the stream, so that its connection can be used again.
+    pub(crate) async fn drain(&mut self) {
+        while matches!(self.payload.recv().await, Some(Ok(_))) {}
+    }
+
     fn split(&mut self) {
         let Some(end) = self.pending.iter().rposition(|byte| *byte == b'\n') else {
             return;
