--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -9,17 +9,23 @@
     crate::{
         cache::CacheIndex,
         command::{Command, Usage},
+        credit::Credits,
         declaration::{Class, Configuration, Customer},
+        demand::LevelDemand,
         event::Event,
         id::{
             AttemptId, ClassId, CustomerId, DomainId, EntryId, Generation, ModelId, RequestId,
             WeightsVersion, WorkerId,
         },
+        kept::KeptPieces,
+        prefix::PrefixChain,
         record::{CallId, RecordCall},
         request::Request,
-        system::{configuration, liveness, once, request, stream},
+        ring::Offers,
+        share::{RetryBudget, Shares},
+        system::{configuration, credits, limits, liveness, once, placement, request, stream},
         table::Table,
-        unit::{DurationMs, TimeMs},
+        unit::{DurationMs, TimeMs, Tokens},
         verdict::{Cause, Refusal, Verdict},
         worker::Worker,
     },
@@ -42,6 +48,19 @@
     pub max_requests: usize,
 }
 
+/// The numbers of rows that requests and their calls to the table service take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TableSizes {
+    /// Requests in progress.
+    pub requests: usize,
+    /// Attempts in progress.
+    pub attempts: usize,
+    /// Uses of idempotency keys that are not settled.
+    pub once: usize,
+    /// Calls to the table service that wait for their answer.
+    pub calls: usize,
+}
+
 /// The state of the decisions.
 #[derive(Debug)]
 pub struct Core {
@@ -57,6 +76,14 @@
     pub(crate) once: Table<AttemptId, once::OnceUse>,
     pub(crate) calls: Table<CallId, AttemptId>,
     pub(crate) cache: CacheIndex,
+    pub(crate) kept: KeptPieces,
+    pub(crate) offers: Offers,
+    pub(crate) demand: LevelDemand,
+    pub(crate) entries: usize,
+    pub(crate) shares: Shares,
+    pub(crate) shares_looked_at_ms: TimeMs,
+    pub(crate) retries: RetryBudget,
+    pub(crate) credits: Credits,
     pub(crate) shutting_down: bool,
     next_attempt: u64,
     next_call: u64,
@@ -80,6 +107,14 @@
             once: Table::default(),
             calls: Table::default(),
             cache: CacheIndex::default(),
+            kept: KeptPieces::default(),
+            offers: Offers::default(),
+            demand: LevelDemand::default(),
+            entries: 1,
+            shares: Shares::default(),
+            shares_looked_at_ms: TimeMs::default(),
+            retries: RetryBudget::default(),
+            credits: Credits::default(),
             shutting_down: false,
             next_attempt: 0,
             next_call: 0,
@@ -129,13 +164,22 @@
                 request::failed(self, attempt, verdict, failure);
             }
             Event::CallerLeft { request } => request::caller_left(self, request),
-            Event::RecordAnswered { call, answer } => once::answered(self, call, answer),
+            Event::RecordAnswered { call, answer } => {
+                if !credits::answered(self, call, &answer) {
+                    once::answered(self, call, answer);
+                }
+            }
             Event::Probed {
                 worker,
                 incarnation,
             } => liveness::probed(self, worker, incarnation),
             Event::Load(report) => liveness::load(self, report),
             Event::Cache(report) => liveness::cache(self, &report),
+            Event::CacheSnapshot(snapshot) => liveness::cache_snapshot(self, &snapshot),
+            Event::WorkerLeaving {
+                worker,
+                incarnation,
+            } => liveness::leaving(self, worker, incarnation),
             Event::Vms(list) => liveness::listed(self, &list),
             Event::Configured(accepted) => configuration::accept(self, accepted),
             Event::ShutdownStarted => self.shutting_down = true,
@@ -148,6 +192,8 @@
         liveness::tick(self);
         stream::tick(self);
         once::tick(self);
+        limits::tick(self);
+        credits::tick(self);
     }
 
     /// The generation of the configuration in force.
@@ -180,6 +226,23 @@
         self.once.len()
     }
 
+    /// The prefix of a prompt that is believed to be cached in the worker's life as known.
+    #[must_use]
+    pub fn believed_cached(&self, worker: WorkerId, chain: &PrefixChain) -> Tokens {
+        self.cache.cached(worker, chain, self.now)
+    }
+
+    /// The rows that are kept for requests in progress and unsettled keys.
+    #[must_use]
+    pub fn sizes(&self) -> TableSizes {
+        TableSizes {
+            requests: self.requests.len(),
+            attempts: self.attempts.len(),
+            once: self.once.len(),
+            calls: self.calls.len(),
+        }
+    }
+
     /// The workers, in the order of their ids.
     pub fn workers(&self) -> impl Iterator<Item = &Worker> {
         self.workers.iter().map(|row| row.1)
@@ -197,13 +260,15 @@
         AttemptId(u128::from(self.settings.incarnation) << 64 | u128::from(self.next_attempt))
     }
 
-    pub(crate) fn record(&mut self, owner: AttemptId, what: RecordCall) {
+    pub(crate) fn record(&mut self, owner: AttemptId, what: RecordCall) -> CallId {
         self.next_call += 1;
         let call = CallId(self.next_call);
         self.calls.insert(call, owner);
         self.emit(Command::Record { call, what });
+        call
     }
 
+    /// Gives a request its final answer. The verdict covers all attempts that it has had.
     pub(crate) fn refuse(
         &mut self,
         request: RequestId,
@@ -211,6 +276,8 @@
         cause: Cause,
         retry_after_ms: DurationMs,
     ) {
+        let earlier = self.requests.get(&request).map(|known| known.verdict);
+        let verdict = earlier.map_or(verdict, |earlier| earlier.max(verdict));
         self.forget(request);
         let refusal = Refusal {
             verdict,
@@ -220,13 +287,15 @@
         self.emit(Command::Refuse { request, refusal });
     }
 
-    pub(crate) fn complete(&mut self, request: RequestId, usage: Usage) {
+    pub(crate) fn complete(&mut self, request: RequestId, mut usage: Usage) {
+        usage.cost_microcredits = credits::settle(self, request, usage.answer_tokens);
         self.forget(request);
         self.emit(Command::Complete { request, usage });
     }
 
     /// Ends a request: its attempt, if any, no longer counts.
     pub(crate) fn forget(&mut self, request: RequestId) {
+        credits::release(self, request);
         self.end_attempt(request);
         self.requests.remove(&request);
     }
@@ -240,6 +309,7 @@
             return;
         };
         self.attempts.remove(&attempt.id);
+        placement::ended(self, &attempt);
         if let Some(worker) = self.workers.get_mut(&attempt.worker) {
             worker.in_flight = worker.in_flight.saturating_sub(1);
         }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,6 +10,7 @@
         poller,
         settings::Settings,
         telemetry,
+        timeline::Timeline,
         timer::Timer,
     },
     cactusspur_core::{DurationMs, Event},
@@ -82,7 +83,8 @@
     /// When an address can't be bound.
     pub async fn bind(settings: Settings) -> Result<Self, Report<DaemonError>> {
         let incarnation: u64 = rand::random();
-        let (driver, commands) = Driver::open(settings.core(incarnation));
+        let timeline = Timeline::open(&settings.name, incarnation);
+        let (driver, commands) = Driver::open(settings.core(incarnation), timeline);
         let draining = Arc::new(AtomicBool::new(false));
         let callers_state = CallersState {
             driver: Arc::clone(&driver),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,16 +5,19 @@
 
 pub mod callers;
 pub mod change;
+pub mod configuration_log;
 pub mod daemon;
 pub mod declaration_file;
 pub mod driver;
 pub mod openai;
+pub mod operator;
 pub mod operators;
 pub mod outbound;
 pub mod platform;
 pub mod poller;
 pub mod settings;
 pub mod telemetry;
+pub mod timeline;
 pub mod timer;
 pub mod worker_link;
 
--- a/src/poller.rs
+++ b/src/poller.rs
@@ -1,8 +1,15 @@
 //! What a process asks for again and again: the list of VMs, the configuration, workers' reports.
 
 use {
-    crate::{driver::Driver, platform::Platform, timer::Timer, worker_link::WorkerLink},
-    cactusspur_core::{CacheSequence, Configuration, DurationMs, Event, TICK_MS, Table, WorkerId},
+    crate::{
+        configuration_log::{ConfigurationLog, LogError},
+        driver::Driver,
+        platform::Platform,
+        timer::Timer,
+        worker_link::{CachePosition, WorkerLink},
+    },
+    cactusspur_core::{DurationMs, Event, Generation, TICK_MS, Table, WorkerId},
+    error_stack::Report,
     futures::StreamExt,
     std::{cell::RefCell, rc::Rc, sync::Arc},
 };
@@ -13,8 +20,6 @@
 const REPORT_INTERVAL_MS: DurationMs = DurationMs(250);
 /// How often the configuration is looked for.
 const CONFIGURATION_INTERVAL_MS: DurationMs = DurationMs(500);
-/// The row that holds the configuration in force.
-const CONFIGURATION_KEY: &str = "configuration/head";
 
 /// Ticks the core.
 pub fn spawn_ticks(timer: &Timer, driver: Arc<Driver>) {
@@ -46,12 +51,10 @@
 pub fn spawn_configuration(timer: &Timer, driver: Arc<Driver>, platform: Platform) {
     let mut ticks = timer.subscribe(CONFIGURATION_INTERVAL_MS);
     ntex::rt::spawn(async move {
+        let log = ConfigurationLog::open(platform);
         loop {
-            if let Ok(Some(row)) = platform.read_row(CONFIGURATION_KEY).await {
-                match serde_json::from_value::<Configuration>(row.value) {
-                    Ok(configuration) => driver.configure(configuration),
-                    Err(error) => tracing::warn!(%error, "the configuration can't be read"),
-                }
+            if let Err(report) = catch_up(&log, &driver).await {
+                tracing::debug!(?report, "the configuration can't be read");
             }
             if ticks.next().await.is_none() {
                 return;
@@ -60,12 +63,29 @@
     });
 }
 
+/// Takes every configuration after the one in force into force.
+async fn catch_up(
+    log: &ConfigurationLog<Platform>,
+    driver: &Driver,
+) -> Result<(), Report<LogError>> {
+    let mut known = driver.inspect(|core| core.configuration().clone());
+    if known.generation == Generation(0) {
+        known = log.newest().await?;
+        driver.configure(known.clone());
+    }
+    while let Some(next) = log.next(&known).await? {
+        known = next;
+        driver.configure(known.clone());
+    }
+    Ok(())
+}
+
 /// Asks workers for their reports.
 pub async fn spawn_reports(timer: &Timer, driver: Arc<Driver>) {
     let link = WorkerLink::open(Arc::clone(&driver)).await;
     let mut ticks = timer.subscribe(REPORT_INTERVAL_MS);
     ntex::rt::spawn(async move {
-        let positions: Rc<RefCell<Table<WorkerId, CacheSequence>>> = Rc::default();
+        let positions: Rc<RefCell<Table<WorkerId, CachePosition>>> = Rc::default();
         while ticks.next().await.is_some() {
             let workers: Vec<WorkerId> =
                 driver.inspect(|core| core.workers().map(|worker| worker.id).collect());
@@ -80,11 +100,11 @@
 
 async fn report(
     link: &WorkerLink,
-    positions: &RefCell<Table<WorkerId, CacheSequence>>,
+    positions: &RefCell<Table<WorkerId, CachePosition>>,
     worker: WorkerId,
 ) {
     link.poll_load(worker).await;
-    let after = positions.borrow().get(&worker).copied().unwrap_or_default();
-    let next = link.poll_cache(worker, after).await;
+    let from = positions.borrow().get(&worker).copied().unwrap_or_default();
+    let next = link.poll_cache(worker, from).await;
     positions.borrow_mut().insert(worker, next);
 }
