Group the prompts of one first level by the work that it brings

Change: a first level's prompts share as many workers as its work needs, on small tables too; a failure domain is enough by itself from 64 workers on.

--- a/core/src/system/placement.rs
+++ b/core/src/system/placement.rs
@@ -24,15 +24,14 @@
 /// Up to this many workers all are compared.
 const COMPARE_ALL: usize = 32;
 /// A failure domain with this many workers for a model uses others only when they can't serve.
-const ENOUGH_IN_DOMAIN: usize = 16;
+const ENOUGH_IN_DOMAIN: usize = 64;
 /// Workers compared because they hold a part of the prompt.
 const HOLDERS: usize = 8;
 /// Workers compared at random.
 const RANDOM: usize = 4;
 /// Workers passed over at one place of the ring, because they can't take work.
 const STEPS: usize = 16;
-/// Workers that share the prompts of one first level at the least.
-const MIN_GROUP: usize = 16;
+/// Workers that share the prompts of one first level at the most.
 const MAX_GROUP: usize = 256;
 const MAX_HOMES: usize = 16;
 /// The level, counted from zero, whose end decides a prompt's home, when it isn't the last.
@@ -291,9 +290,14 @@
     found
 }
 
+/// All workers: first those that share the prompts of the first level, in the order of the home
+/// level, then the others in the order of the first level.
 fn ranked(home: Home, mut workers: Vec<&Worker>) -> Vec<(usize, &Worker)> {
-    workers
-        .sort_by_cached_key(|worker| xxh3_64_with_seed(&worker.id.0.to_le_bytes(), home.level.0));
+    let hash =
+        |worker: &Worker, level: PieceHash| xxh3_64_with_seed(&worker.id.0.to_le_bytes(), level.0);
+    workers.sort_by_cached_key(|worker| hash(worker, home.first_level));
+    let group = home.group.min(workers.len());
+    workers[..group].sort_by_cached_key(|worker| hash(worker, home.level));
     workers.into_iter().enumerate().collect()
 }
 
@@ -373,13 +377,16 @@
     let first_level = level(chain, 0).unwrap_or(PieceHash(model.0));
     let home_level = level(chain, HOME_LEVEL.min(last)).unwrap_or(first_level);
     let group = core.demand.spread(first_level, core.entries, core.now);
-    let spread = core.demand.spread(home_level, core.entries, core.now);
+    let spread = core
+        .demand
+        .spread(home_level, core.entries, core.now)
+        .min(MAX_HOMES);
     Home {
         first_level,
         level: home_level,
         pieces: pieces_to(chain, HOME_LEVEL.min(last)),
-        group: group.clamp(MIN_GROUP, MAX_GROUP),
-        spread: spread.min(MAX_HOMES),
+        group: group.clamp(spread, MAX_GROUP),
+        spread,
     }
 }
 
