Let silent streams and slow calls go on instead of giving them up

Causes, each with a fixed sequence that failed before and passes now: - a plain service that took more than 2 s was given up although it answered the probe; a dispatch then ended as 'may have run'.

--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -72,6 +72,6 @@
     pub uncached_tokens: Tokens,
     /// Whether any piece has come.
     pub streaming: bool,
-    /// Whether the worker is being probed because of it.
-    pub probing: bool,
+    /// When its worker was last probed because of its silence; none while it isn't silent.
+    pub probed_at_ms: Option<TimeMs>,
 }
--- a/core/src/system/request.rs
+++ b/core/src/system/request.rs
@@ -1,23 +1,31 @@
 //! Takes requests in, sends their attempts, and ends them.
 
 use {
-    super::{liveness, once, placement},
+    super::{
+        liveness, once,
+        placement::{self, Placement},
+    },
     crate::{
         command::{Command, Send},
         core::Core,
         declaration::{Class, ServedBy},
         event::{Arrival, Failure, RETRY_AFTER_MS},
-        id::{AttemptId, OnceKey, RequestId},
+        id::{AttemptId, Incarnation, OnceKey, RequestId},
         prefix::tokens_of_bytes,
         request::{Attempt, Request},
         unit::{DurationMs, Tokens},
         verdict::{Cause, Refusal, Verdict},
+        worker::Worker,
     },
     bytes::Bytes,
 };
 
 /// Attempts that one request may take at the most.
 const MAX_ATTEMPTS: u32 = 3;
+/// How long a plain service may take to answer a call that may be repeated.
+const CALL_LIMIT_MS: DurationMs = DurationMs(6_000);
+/// How long a plain service may take to answer a call that may not be repeated.
+const ONCE_CALL_LIMIT_MS: DurationMs = DurationMs(15_000);
 
 /// Takes a request in: it is sent, recorded or refused at once.
 pub fn arrive(core: &mut Core, arrival: Arrival) {
@@ -128,10 +136,17 @@
         core.refuse(id, Verdict::NotRun, Cause::NoWorker, RETRY_AFTER_MS);
         return false;
     };
+    dispatch(core, id, attempt, placed);
+    true
+}
+
+/// Sends a request as the given attempt to where it was placed.
+fn dispatch(core: &mut Core, id: RequestId, attempt: AttemptId, placed: Placement) {
     let now = core.now;
     let Some(request) = core.requests.get_mut(&id) else {
-        return false;
+        return;
     };
+    let class = request.class();
     request.attempts_sent += 1;
     request.attempt = Some(Attempt {
         id: attempt,
@@ -143,7 +158,7 @@
         predicted_ms: placed.predicted_ms,
         uncached_tokens: placed.uncached_tokens,
         streaming: false,
-        probing: false,
+        probed_at_ms: None,
     });
     let resume_offset_bytes = request.delivered_bytes;
     core.attempts.insert(attempt, id);
@@ -151,18 +166,77 @@
         worker.in_flight += 1;
         worker.sent.push_back((now, placed.uncached_tokens));
     }
+    let target_ms = core
+        .classes
+        .get(&class)
+        .map_or(u64::MAX, |class| class.first_token_target_ms.0);
     core.emit(Send {
         request: id,
         attempt,
         worker: placed.worker,
         incarnation: placed.incarnation,
-        priority: u32::try_from(class.first_token_target_ms.0).unwrap_or(u32::MAX),
+        priority: u32::try_from(target_ms).unwrap_or(u32::MAX),
         scope: placed.scope,
         resume_offset_bytes,
         import: placed.import,
         export: placed.export,
     });
-    true
+}
+
+/// Whether a silent call of a plain service may go on waiting, given the life of the worker that
+/// has answered a probe. A call that may not be repeated gains nothing from being given up early.
+pub fn may_wait(
+    core: &Core,
+    id: RequestId,
+    attempt: &Attempt,
+    incarnation: Option<Incarnation>,
+) -> bool {
+    let once = core
+        .requests
+        .get(&id)
+        .is_some_and(|request| request.once.is_some());
+    let waited = core.now.since(attempt.sent_at_ms);
+    if once {
+        let restarted = incarnation.is_some() && incarnation != attempt.incarnation;
+        return !restarted && waited < ONCE_CALL_LIMIT_MS;
+    }
+    incarnation.is_some() && incarnation == attempt.incarnation && waited < CALL_LIMIT_MS
+}
+
+/// Lets a stream whose connection has gone silent go on over a new connection to the same life of
+/// its worker.
+pub fn resume_on_same(core: &mut Core, id: RequestId, silent: &Attempt) {
+    let worker = core.workers.get(&silent.worker);
+    let tries_left = core
+        .requests
+        .get(&id)
+        .is_some_and(|request| request.attempts_sent < MAX_ATTEMPTS);
+    let weights_in_force = silent
+        .scope
+        .is_some_and(|scope| core.models.get(&scope.model) == Some(&scope.weights));
+    if !tries_left || !weights_in_force || !worker.is_some_and(Worker::takes_work) {
+        failed(core, silent.id, Verdict::MayHaveRun, Failure::Broken);
+        return;
+    }
+    if let Some(request) = core.requests.get_mut(&id) {
+        request.verdict = Verdict::MayHaveRun;
+    }
+    core.emit(Command::Cancel {
+        attempt: silent.id,
+        worker: silent.worker,
+    });
+    core.end_attempt(id);
+    let attempt = core.new_attempt();
+    let placed = Placement {
+        worker: silent.worker,
+        incarnation: silent.incarnation,
+        scope: silent.scope,
+        predicted_ms: silent.predicted_ms,
+        uncached_tokens: silent.uncached_tokens,
+        import: Vec::new(),
+        export: Vec::new(),
+    };
+    dispatch(core, id, attempt, placed);
 }
 
 /// Takes a plain service's answer in.
@@ -194,6 +268,12 @@
     let once = request.once.is_some();
     let tries_left = request.attempts_sent < MAX_ATTEMPTS;
     core.end_attempt(id);
+    if let Some(worker) = worker
+        && verdict == Verdict::MayHaveRun
+        && !once
+    {
+        core.emit(Command::Cancel { attempt, worker });
+    }
     if let Some(worker) = worker
         && failure != Failure::Refused
     {
--- a/core/src/system/stream.rs
+++ b/core/src/system/stream.rs
@@ -22,6 +22,7 @@
 fn heard(request: &mut Request, now: TimeMs) -> Option<&mut Attempt> {
     let attempt = request.attempt.as_mut()?;
     attempt.heard_at_ms = now;
+    attempt.probed_at_ms = None;
     Some(attempt)
 }
 
@@ -102,37 +103,48 @@
 /// Asks workers over a new connection whose attempts have gone silent.
 pub fn tick(core: &mut Core) {
     let now = core.now;
-    let silent: Vec<(RequestId, WorkerId)> = core
+    let mut silent: Vec<WorkerId> = core
         .requests
-        .iter()
-        .filter_map(|(id, request)| request.attempt.as_ref().map(|attempt| (*id, attempt)))
-        .filter(|(_, attempt)| !attempt.probing)
-        .filter(|(_, attempt)| now.since(attempt.heard_at_ms) > request::silence_limit_ms(attempt))
-        .map(|(id, attempt)| (id, attempt.worker))
+        .iter_mut()
+        .filter_map(|(_, request)| request.attempt.as_mut())
+        .filter(|attempt| probe_due(attempt, now))
+        .map(|attempt| {
+            attempt.probed_at_ms = Some(now);
+            attempt.worker
+        })
         .collect();
-    for (id, worker) in silent {
-        let attempt = core
-            .requests
-            .get_mut(&id)
-            .and_then(|request| request.attempt.as_mut());
-        if let Some(attempt) = attempt {
-            attempt.probing = true;
-        }
+    silent.sort_unstable();
+    silent.dedup();
+    for worker in silent {
         core.emit(Command::Probe { worker });
     }
 }
 
-/// Takes the result of a probe in: silent attempts on that worker are given up.
-pub fn probed(core: &mut Core, worker: WorkerId, _incarnation: Option<Incarnation>) {
-    let silent: Vec<AttemptId> = core
+fn probe_due(attempt: &Attempt, now: TimeMs) -> bool {
+    match attempt.probed_at_ms {
+        Some(at) => now.since(at) > liveness::PROBE_LIMIT_MS,
+        None => now.since(attempt.heard_at_ms) > request::silence_limit_ms(attempt),
+    }
+}
+
+/// Takes the result of a probe in: silent streams on that worker go on over a new connection, or
+/// elsewhere; silent calls of plain services wait on, up to their limit.
+pub fn probed(core: &mut Core, worker: WorkerId, incarnation: Option<Incarnation>) {
+    let silent: Vec<(RequestId, Attempt)> = core
         .requests
         .iter()
-        .filter_map(|(_, request)| request.attempt.as_ref())
-        .filter(|attempt| attempt.worker == worker && attempt.probing)
-        .map(|attempt| attempt.id)
+        .filter_map(|(id, request)| Some((*id, request.attempt.clone()?)))
+        .filter(|(_, attempt)| attempt.worker == worker && attempt.probed_at_ms.is_some())
         .collect();
-    for attempt in silent {
-        core.emit(Command::Cancel { attempt, worker });
-        request::failed(core, attempt, Verdict::MayHaveRun, Failure::Broken);
+    for (id, attempt) in silent {
+        let same_life = incarnation.is_some() && attempt.incarnation == incarnation;
+        if attempt.scope.is_none() && request::may_wait(core, id, &attempt, incarnation) {
+            continue;
+        }
+        if attempt.scope.is_some() && same_life {
+            request::resume_on_same(core, id, &attempt);
+        } else {
+            request::failed(core, attempt.id, Verdict::MayHaveRun, Failure::Broken);
+        }
     }
 }
--- a/core/tests/promises.rs
+++ b/core/tests/promises.rs
@@ -209,3 +209,84 @@
     assert_eq!(core.workers().count(), 0);
     assert_eq!(core.believed_cached(send.worker, &chain).0, 0);
 }
+
+fn probed(worker: WorkerId, incarnation: u64) -> Event {
+    Event::Probed {
+        worker,
+        incarnation: Some(Incarnation(incarnation)),
+    }
+}
+
+/// Binds the key of a dispatch and sends it.
+fn send_dispatch(core: &mut Core, request: u64) -> Send {
+    let bind = written(&core.handle(START, Event::Arrived(dispatch(request)))).expect("bound");
+    let answer = RecordAnswer::Written(RowVersion(1));
+    sent(&core.handle(START, record_answered(bind.0, answer))).expect("sent")
+}
+
+#[test]
+fn a_slow_call_is_not_given_up_while_its_worker_lives() {
+    let mut core = open();
+    let send = send_dispatch(&mut core, 1);
+    core.handle(later(2_100), Event::Tick);
+    let waiting = core.handle(later(2_101), probed(send.worker, 1));
+    assert_eq!(refused(&waiting), None);
+    let answer = Event::CallAnswered {
+        attempt: send.attempt,
+        status: 200,
+        body: "done".into(),
+    };
+    let commands = core.handle(later(4_000), answer);
+    assert!(matches!(commands[0], Command::Answer { .. }));
+}
+
+fn piece(attempt: AttemptId, offset_bytes: u64, text: &'static str) -> Event {
+    Event::Piece {
+        attempt,
+        offset_bytes,
+        text: text.into(),
+    }
+}
+
+#[test]
+fn a_silent_stream_goes_on_at_the_same_engine() {
+    let mut core = open();
+    let first = sent(&core.handle(START, Event::Arrived(chat(1)))).expect("sent");
+    core.handle(START, piece(first.attempt, 0, "four"));
+    let asked = core.handle(later(1_100), Event::Tick);
+    assert_eq!(asked.len(), 1, "{asked:?}");
+    let commands = core.handle(later(1_101), probed(first.worker, 1));
+    let second = sent(&commands).expect("sent again");
+    assert_eq!(
+        (second.worker, second.resume_offset_bytes),
+        (first.worker, 4)
+    );
+    assert!(cancelled(&commands, &first));
+}
+
+#[test]
+fn a_silent_stream_is_probed_again_when_the_probe_answer_is_lost() {
+    let mut core = open();
+    let first = sent(&core.handle(START, Event::Arrived(chat(1)))).expect("sent");
+    core.handle(START, piece(first.attempt, 0, "four"));
+    let worker = first.worker;
+    core.handle(later(1_100), Event::Tick);
+    let again = core.handle(later(2_700), Event::Tick);
+    assert!(again.contains(&Command::Probe { worker }));
+}
+
+fn cancelled(commands: &[Command], send: &Send) -> bool {
+    commands.contains(&Command::Cancel {
+        attempt: send.attempt,
+        worker: send.worker,
+    })
+}
+
+#[test]
+fn a_gap_in_a_stream_cancels_the_attempt() {
+    let mut core = open();
+    let first = sent(&core.handle(START, Event::Arrived(chat(1)))).expect("sent");
+    let commands = core.handle(START, piece(first.attempt, 9, "late"));
+    assert!(cancelled(&commands, &first));
+    assert!(sent(&commands).is_some());
+}
