Fuzz several cores against an oracle

Three entry VMs, seven workers and the table service as small models; late, lost, doubled and reordered messages, crashes, freezes, restarts, pauses, cuts, racing configurations.

--- /dev/null
+++ b/core/tests/fuzz/main.rs
@@ -0,0 +1,233 @@
+//! Stateful fuzzing of several cores against an oracle. `docs/PROMISES.md` says how to run it long.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod oracle;
+mod table;
+mod worker;
+mod world;
+
+use {
+    crate::{
+        table::TableMode,
+        world::{NODES, WORKERS, World},
+    },
+    proptest::{
+        prelude::*,
+        test_runner::{RngSeed, TestRunner},
+    },
+    proptest_state_machine::{ReferenceStateMachine, StateMachineTest},
+    std::sync::atomic::{AtomicU64, Ordering},
+};
+
+/// The seed when `PROPTEST_RNG_SEED` gives none.
+const SEED: u64 = 20_261_203;
+/// The cases when `PROPTEST_CASES` gives no number.
+const CASES: u32 = 96;
+
+/// What happens next.
+#[derive(Clone, Debug)]
+enum Step {
+    Ask {
+        node: usize,
+        customer: usize,
+        class: usize,
+        key: u8,
+        body: u8,
+    },
+    Advance {
+        ms: u64,
+    },
+    /// A message on its way is late.
+    Delay {
+        pick: u64,
+        ms: u64,
+    },
+    /// A message on its way comes twice.
+    Repeat {
+        pick: u64,
+        ms: u64,
+    },
+    /// A message on its way is lost, if it is of a kind that can be.
+    Lose {
+        pick: u64,
+    },
+    /// The connection of an attempt breaks.
+    Break {
+        pick: u64,
+    },
+    /// The connection of an attempt goes silent for good.
+    Silence {
+        pick: u64,
+    },
+    Crash {
+        worker: usize,
+        ms: u64,
+    },
+    Freeze {
+        worker: usize,
+        ms: u64,
+    },
+    /// A worker is to leave; the list says so after a lag.
+    Leave {
+        worker: usize,
+        lag_ms: u64,
+    },
+    Unlist {
+        worker: usize,
+        ms: u64,
+    },
+    Table {
+        mode: TableMode,
+    },
+    /// An entry VM can't reach the table service.
+    Cut {
+        node: usize,
+        ms: u64,
+    },
+    Restart {
+        node: usize,
+    },
+    Pause {
+        node: usize,
+        ms: u64,
+    },
+    Configure {
+        node: usize,
+        generation: u64,
+    },
+    ShutDown {
+        node: usize,
+    },
+    CallerLeaves {
+        pick: u64,
+    },
+}
+
+/// The order of the steps needs no state: every step is possible at any time.
+struct Plan;
+
+impl ReferenceStateMachine for Plan {
+    type State = u64;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<u64> {
+        any::<u64>().boxed()
+    }
+
+    fn transitions(_: &u64) -> BoxedStrategy<Step> {
+        let node = || 0..NODES;
+        let worker = || 0..WORKERS;
+        let pick = any::<u64>;
+        let modes = prop_oneof![
+            3 => Just(TableMode::Up),
+            1 => Just(TableMode::Slow),
+            1 => Just(TableMode::Down),
+            2 => Just(TableMode::AnswersLost),
+            2 => Just(TableMode::Late),
+        ];
+        prop_oneof![
+            30 => (node(), 0..2_usize, 0..4_usize, 0..4_u8, 0..8_u8).prop_map(
+                |(node, customer, class, key, body)| Step::Ask { node, customer, class, key, body }
+            ),
+            30 => prop_oneof![5..300_u64, 300..3_000_u64].prop_map(|ms| Step::Advance { ms }),
+            5 => (pick(), 50..6_000_u64).prop_map(|(pick, ms)| Step::Delay { pick, ms }),
+            3 => (pick(), 0..6_000_u64).prop_map(|(pick, ms)| Step::Repeat { pick, ms }),
+            3 => pick().prop_map(|pick| Step::Lose { pick }),
+            3 => pick().prop_map(|pick| Step::Break { pick }),
+            3 => pick().prop_map(|pick| Step::Silence { pick }),
+            4 => (worker(), 0..4_000_u64).prop_map(|(worker, ms)| Step::Crash { worker, ms }),
+            3 => (worker(), 100..9_000_u64).prop_map(|(worker, ms)| Step::Freeze { worker, ms }),
+            3 => (worker(), 0..20_000_u64)
+                .prop_map(|(worker, lag_ms)| Step::Leave { worker, lag_ms }),
+            1 => (worker(), 500..6_000_u64).prop_map(|(worker, ms)| Step::Unlist { worker, ms }),
+            5 => modes.prop_map(|mode| Step::Table { mode }),
+            2 => (node(), 500..5_000_u64).prop_map(|(node, ms)| Step::Cut { node, ms }),
+            2 => node().prop_map(|node| Step::Restart { node }),
+            3 => (node(), 100..8_000_u64).prop_map(|(node, ms)| Step::Pause { node, ms }),
+            3 => (node(), 1..12_u64)
+                .prop_map(|(node, generation)| Step::Configure { node, generation }),
+            1 => node().prop_map(|node| Step::ShutDown { node }),
+            2 => pick().prop_map(|pick| Step::CallerLeaves { pick }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: u64, _: &Step) -> u64 {
+        state
+    }
+}
+
+struct Promises;
+
+impl StateMachineTest for Promises {
+    type SystemUnderTest = World;
+    type Reference = Plan;
+
+    fn init_test(seed: &u64) -> World {
+        World::open(*seed)
+    }
+
+    fn apply(mut world: World, _: &u64, step: Step) -> World {
+        STEPS.fetch_add(1, Ordering::Relaxed);
+        world.step(&step);
+        world
+    }
+
+    fn check_invariants(world: &World, _: &u64) {
+        world.check();
+    }
+
+    fn teardown(mut world: World) {
+        world.heal();
+        let counts = world.counts();
+        for (total, count) in TOTALS.iter().zip(counts) {
+            total.fetch_add(count, Ordering::Relaxed);
+        }
+    }
+}
+
+static STEPS: AtomicU64 = AtomicU64::new(0);
+static TOTALS: [AtomicU64; 7] = [const { AtomicU64::new(0) }; 7];
+const TOTAL_NAMES: [&str; 7] = [
+    "requests",
+    "answered",
+    "refused as not run",
+    "refused as may have run",
+    "keys",
+    "keys that stay `may have run`",
+    "of these never run",
+];
+
+fn config() -> ProptestConfig {
+    let mut config = ProptestConfig {
+        failure_persistence: None,
+        max_shrink_iters: 4_000,
+        ..ProptestConfig::default()
+    };
+    if std::env::var_os("PROPTEST_CASES").is_none() {
+        config.cases = CASES;
+    }
+    if std::env::var_os("PROPTEST_RNG_SEED").is_none() {
+        config.rng_seed = RngSeed::Fixed(SEED);
+    }
+    config
+}
+
+#[test]
+fn promises_hold() {
+    let config = config();
+    let mut runner = TestRunner::new(config.clone());
+    let strategy = Plan::sequential_strategy(10..160);
+    let outcome = runner.run(&strategy, |(seed, steps, seen)| {
+        Promises::test_sequential(config.clone(), seed, steps, seen);
+        Ok(())
+    });
+    eprintln!("steps: {}", STEPS.load(Ordering::Relaxed));
+    for (name, total) in TOTAL_NAMES.iter().zip(&TOTALS) {
+        eprintln!("{name}: {}", total.load(Ordering::Relaxed));
+    }
+    if let Err(failure) = outcome {
+        panic!("seed {}: {failure}", config.rng_seed);
+    }
+}
--- /dev/null
+++ b/core/tests/fuzz/worker.rs
@@ -0,0 +1,99 @@
+//! Workers: engines with a bounded cache, and plain services.
+
+use cactusspur_core::{
+    CacheChange, CacheReport, CacheSequence, Incarnation, PieceHash, TimeMs, WeightsVersion,
+    WorkerId,
+};
+
+/// The cached pieces that an engine holds.
+const CACHE_PIECES: usize = 24;
+
+/// A worker.
+#[derive(Debug)]
+pub struct WorkerModel {
+    pub name: &'static str,
+    pub domain: &'static str,
+    pub service: Option<&'static str>,
+    pub incarnation: Incarnation,
+    pub weights: WeightsVersion,
+    pub down_until: TimeMs,
+    pub frozen_until: TimeMs,
+    pub unlisted_until: TimeMs,
+    pub leaving: bool,
+    pub listed_leaving_from: Option<TimeMs>,
+    cache: Vec<PieceHash>,
+    changes: Vec<CacheChange>,
+}
+
+impl WorkerModel {
+    /// A worker in its first life.
+    pub fn spawn(
+        number: u64,
+        name: &'static str,
+        domain: &'static str,
+        service: Option<&'static str>,
+    ) -> Self {
+        Self {
+            name,
+            domain,
+            service,
+            incarnation: Incarnation(1 + number * 10_000),
+            weights: WeightsVersion(1),
+            down_until: TimeMs(0),
+            frozen_until: TimeMs(0),
+            unlisted_until: TimeMs(0),
+            leaving: false,
+            listed_leaving_from: None,
+            cache: Vec::new(),
+            changes: Vec::new(),
+        }
+    }
+
+    pub fn id(&self) -> WorkerId {
+        WorkerId::of(self.name)
+    }
+
+    /// The life that answers a new connection now.
+    pub fn answers(&self, now: TimeMs) -> Option<Incarnation> {
+        (self.down_until <= now && self.frozen_until <= now).then_some(self.incarnation)
+    }
+
+    /// It dies, and is back empty at `up_at`.
+    pub fn crash(&mut self, up_at: TimeMs, weights: WeightsVersion) {
+        self.incarnation.0 += 1;
+        self.weights = weights;
+        self.down_until = up_at;
+        self.frozen_until = TimeMs(0);
+        self.leaving = false;
+        self.listed_leaving_from = None;
+        self.cache.clear();
+        self.changes.clear();
+    }
+
+    /// Stores pieces and gives back what changed, and the pieces that were cached before.
+    pub fn compute(&mut self, pieces: &[PieceHash]) -> (CacheReport, usize) {
+        let first = self.changes.len();
+        let cached = pieces.iter().take_while(|piece| self.cache.contains(piece));
+        let cached = cached.count();
+        for piece in &pieces[cached..] {
+            if self.cache.len() == CACHE_PIECES {
+                self.changes
+                    .push(CacheChange::Evicted(self.cache.remove(0)));
+            }
+            self.cache.push(*piece);
+            self.changes.push(CacheChange::Stored(*piece));
+        }
+        (self.report(CacheSequence(first as u64)), cached)
+    }
+
+    /// The changes from `first` on.
+    pub fn report(&self, first: CacheSequence) -> CacheReport {
+        let from = usize::try_from(first.0).unwrap_or(usize::MAX);
+        CacheReport {
+            worker: self.id(),
+            incarnation: self.incarnation,
+            first_sequence: first,
+            changes: self.changes.get(from..).unwrap_or_default().to_vec(),
+        }
+    }
+}
