Keep a leaving message of a life that is not known yet

Cause: a worker restarted and at once said it was leaving; the message was dropped since only a probe makes a life known, and the next one could be lost. Regression test: fixed sequence.

--- a/core/src/system/liveness.rs
+++ b/core/src/system/liveness.rs
@@ -58,11 +58,11 @@
 /// Takes in that a worker has said itself that it is leaving. It holds for that life, whatever the
 /// list of VMs says.
 pub fn leaving(core: &mut Core, id: WorkerId, incarnation: Incarnation) {
-    if !seen_alive(core, id, incarnation) {
-        return;
-    }
-    if let Some(worker) = core.workers.get_mut(&id) {
-        worker.said_leaving = true;
+    seen_alive(core, id, incarnation);
+    if let Some(worker) = core.workers.get_mut(&id)
+        && !worker.says_leaving()
+    {
+        worker.said_leaving = Some(incarnation);
     }
 }
 
@@ -169,7 +169,6 @@
         return;
     }
     worker.incarnation = Some(incarnation);
-    worker.said_leaving = false;
     worker.load = None;
     worker.sent.clear();
     core.cache.set_incarnation(id, incarnation);
--- a/core/src/worker.rs
+++ b/core/src/worker.rs
@@ -37,8 +37,8 @@
     pub service: Option<ServiceId>,
     /// Whether it is leaving, by the list of VMs.
     pub leaving: bool,
-    /// Whether its present life has said itself that it is leaving.
-    pub said_leaving: bool,
+    /// The life that has said itself that it is leaving.
+    pub said_leaving: Option<Incarnation>,
     /// Since when the list of VMs lacks it.
     pub unlisted_since_ms: Option<TimeMs>,
     /// How alive it is believed to be.
@@ -65,7 +65,7 @@
             domain: vm.domain(),
             service: vm.role.service(),
             leaving: vm.leaving,
-            said_leaving: false,
+            said_leaving: None,
             unlisted_since_ms: None,
             liveness: Liveness::Alive,
             incarnation: None,
@@ -79,10 +79,16 @@
     /// Whether new work may be sent to it.
     #[must_use]
     pub fn takes_work(&self) -> bool {
-        let leaves = self.leaving || self.said_leaving || self.unlisted_since_ms.is_some();
+        let leaves = self.leaving || self.says_leaving() || self.unlisted_since_ms.is_some();
         !leaves && self.liveness == Liveness::Alive
     }
 
+    /// Whether its present life has said itself that it is leaving.
+    #[must_use]
+    pub fn says_leaving(&self) -> bool {
+        self.said_leaving.is_some() && self.said_leaving == self.incarnation
+    }
+
     /// The weights of `model` that it has loaded, if any.
     #[must_use]
     pub fn weights(&self, model: ModelId) -> Option<WeightsVersion> {
--- a/core/tests/promises.rs
+++ b/core/tests/promises.rs
@@ -290,3 +290,17 @@
     assert!(cancelled(&commands, &first));
     assert!(sent(&commands).is_some());
 }
+
+#[test]
+fn a_life_that_says_it_leaves_before_it_is_known_gets_no_work() {
+    let mut core = open();
+    let worker = WorkerId::of("engine-a");
+    let incarnation = Incarnation(2);
+    let leaving = Event::WorkerLeaving {
+        worker,
+        incarnation,
+    };
+    core.handle(START, leaving);
+    core.handle(later(1), probed(worker, 2));
+    assert!(!takes_work(&core, "engine-a"));
+}
