Send a dispatch elsewhere when it was surely not run; keep late answers

- A dispatch that a worker refused was refused to the caller, although another worker could have run it.
The key is now bound to a new attempt, by a write on the old one's version, and sent elsewhere.
Ruled out: sending the same attempt again, since a late copy of the first failure would then speak for the second.
- The answer of a dispatch that was given up as 'may have run' is kept when it comes within 30 s, so that a repetition of the caller gets it.
- In an outage of the table service each refused dispatch left a row that was rewritten four times a second for ever: now 4096 rows at the most, then refused at once, and the interval doubles up to 4 s.

--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -195,7 +195,7 @@
     /// Uses of idempotency keys that still have to be written to the table service.
     #[must_use]
     pub fn unsettled(&self) -> usize {
-        self.once.len()
+        once::unsettled(self)
     }
 
     /// The prefix of a prompt that is believed to be cached in the worker's life as known.
--- a/core/src/system/once.rs
+++ b/core/src/system/once.rs
@@ -23,8 +23,14 @@
 
 /// How long the table service may take to bind a key before the request is refused.
 const BIND_LIMIT_MS: DurationMs = DurationMs(1_000);
-/// The time between two tries of a write that has to succeed.
+/// The time before the first repetition of a write that has to succeed. It doubles with each one.
 const SETTLE_INTERVAL_MS: DurationMs = DurationMs(250);
+/// How often that time doubles at the most.
+const SETTLE_DOUBLINGS: u32 = 4;
+/// How long the answer of an attempt is still kept that was given up.
+const LATE_ANSWER_LIMIT_MS: DurationMs = DurationMs(30_000);
+/// The uses of keys that may be unsettled before requests with keys are refused.
+pub const MAX_UNSETTLED: usize = 4_096;
 
 /// The use of a key by an attempt of this process.
 #[derive(Clone, Debug)]
@@ -34,6 +40,7 @@
     started_at_ms: TimeMs,
     version: Option<RowVersion>,
     retry_at_ms: Option<TimeMs>,
+    repetitions: u32,
     /// The latest call. The answers of earlier ones, which wrote what is no longer wanted, don't
     /// count: what they did shows as a conflict of the latest.
     call: Option<CallId>,
@@ -46,6 +53,8 @@
     Binding { request: RequestId },
     /// The attempt was sent.
     Sent,
+    /// The attempt was sent and its request refused as possibly run; its answer may still come.
+    GivenUp { at_ms: TimeMs },
     /// The attempt won't be sent; the row is to say so.
     Abandoning,
     /// The attempt was answered; the row is to keep the answer.
@@ -67,6 +76,7 @@
         started_at_ms: core.now,
         version: None,
         retry_at_ms: None,
+        repetitions: 0,
         call: None,
         stage: Stage::Binding { request: id },
     };
@@ -81,7 +91,7 @@
     };
     using.retry_at_ms = None;
     let state = match &using.stage {
-        Stage::Binding { .. } | Stage::Sent => OnceState::Intent,
+        Stage::Binding { .. } | Stage::Sent | Stage::GivenUp { .. } => OnceState::Intent,
         Stage::Abandoning => OnceState::Abandoned,
         Stage::Finishing { status, body } => OnceState::Done {
             status: *status,
@@ -117,7 +127,7 @@
         return;
     }
     match (using.stage.clone(), answer) {
-        (Stage::Sent, _) => {}
+        (Stage::Sent | Stage::GivenUp { .. }, _) => {}
         (Stage::Binding { request }, RecordAnswer::Written(version)) => {
             bound(core, attempt, request, version);
         }
@@ -135,9 +145,12 @@
 }
 
 fn retry_later(core: &mut Core, attempt: AttemptId) {
-    let at = core.now.after(SETTLE_INTERVAL_MS);
+    let now = core.now;
     if let Some(using) = core.once.get_mut(&attempt) {
-        using.retry_at_ms = Some(at);
+        let doublings = using.repetitions.min(SETTLE_DOUBLINGS);
+        let wait_ms = DurationMs(SETTLE_INTERVAL_MS.0 << doublings);
+        using.retry_at_ms = Some(now.after(wait_ms));
+        using.repetitions += 1;
     }
 }
 
@@ -227,26 +240,63 @@
     write(core, attempt);
 }
 
-/// Keeps the answer of an attempt.
+/// Keeps the answer of an attempt, also when its request was given up before.
 pub fn done(core: &mut Core, attempt: AttemptId, status: u16, body: Bytes) {
     let Some(using) = core.once.get_mut(&attempt) else {
         return;
     };
+    if !matches!(using.stage, Stage::Sent | Stage::GivenUp { .. }) {
+        return;
+    }
     using.stage = Stage::Finishing { status, body };
     write(core, attempt);
 }
 
-/// Takes the failure of an attempt in: only one that was surely not run frees the key.
+/// Takes the failure of an attempt in. One that was surely not run is followed by another, or frees
+/// the key.
 pub fn failed(core: &mut Core, request: RequestId, attempt: AttemptId, verdict: Verdict) {
+    if verdict == Verdict::NotRun && request::may_send_again(core, request) {
+        rebind(core, request, attempt);
+        return;
+    }
     core.refuse(request, verdict, Cause::BackendFailed, RETRY_AFTER_MS);
+    let at_ms = core.now;
     match verdict {
         Verdict::NotRun => abandon(core, attempt),
         Verdict::MayHaveRun => {
-            core.once.remove(&attempt);
+            if let Some(using) = core.once.get_mut(&attempt) {
+                using.stage = Stage::GivenUp { at_ms };
+            }
         }
     }
 }
 
+/// Binds the key to a new attempt in place of one that was surely not run. A late failure of the
+/// old attempt can't be taken for one of the new.
+fn rebind(core: &mut Core, request: RequestId, old: AttemptId) {
+    let started_at_ms = core.now;
+    let attempt = core.new_attempt();
+    let Some(using) = core.once.remove(&old) else {
+        return;
+    };
+    let using = OnceUse {
+        started_at_ms,
+        retry_at_ms: None,
+        repetitions: 0,
+        call: None,
+        stage: Stage::Binding { request },
+        ..using
+    };
+    core.once.insert(attempt, using);
+    write(core, attempt);
+}
+
+/// Uses of keys that have to be written to the table service, or whose attempt is in progress.
+pub fn unsettled(core: &Core) -> usize {
+    let settled = |using: &OnceUse| matches!(using.stage, Stage::GivenUp { .. });
+    core.once.iter().filter(|row| !settled(row.1)).count()
+}
+
 /// Tries unsettled writes again, and gives up binding after its limit.
 pub fn tick(core: &mut Core) {
     let now = core.now;
@@ -268,6 +318,10 @@
         );
         abandon(core, attempt);
     }
+    core.once.retain(|_, using| match using.stage {
+        Stage::GivenUp { at_ms } => now.since(at_ms) <= LATE_ANSWER_LIMIT_MS,
+        _ => true,
+    });
     let due: Vec<AttemptId> = core
         .once
         .iter()
--- a/core/src/system/request.rs
+++ b/core/src/system/request.rs
@@ -94,6 +94,9 @@
     if needs_key && arrival.once_key.is_none() {
         return Err(Cause::BadRequest);
     }
+    if needs_key && core.once.len() >= once::MAX_UNSETTLED {
+        return Err(Cause::TableUnavailable);
+    }
     Ok(class.clone())
 }
 
@@ -239,9 +242,21 @@
     dispatch(core, id, attempt, placed);
 }
 
+/// Whether a request has tries left and a worker to go to.
+pub fn may_send_again(core: &Core, id: RequestId) -> bool {
+    let Some(request) = core.requests.get(&id) else {
+        return false;
+    };
+    let Some(class) = core.classes.get(&request.class()) else {
+        return false;
+    };
+    request.attempts_sent < MAX_ATTEMPTS && placement::place(core, id, class).is_some()
+}
+
 /// Takes a plain service's answer in.
 pub fn answered(core: &mut Core, attempt: AttemptId, status: u16, body: Bytes) {
     let Some(id) = core.attempts.get(&attempt).copied() else {
+        once::done(core, attempt, status, body);
         return;
     };
     core.forget(id);
--- a/core/tests/promises.rs
+++ b/core/tests/promises.rs
@@ -5,8 +5,8 @@
 use {
     cactusspur_core::{
         Arrival, AttemptId, CacheChange, CacheReport, CacheSequence, CallId, Command, Core,
-        DurationMs, Event, Failure, Incarnation, PrefixChain, Record, RecordAnswer, RecordCall,
-        Refusal, Row, RowVersion, Send, TimeMs, Verdict, VmList, WorkerId,
+        DurationMs, Event, Failure, Incarnation, OnceState, PrefixChain, Record, RecordAnswer,
+        RecordCall, Refusal, Row, RowVersion, Send, TimeMs, Verdict, VmList, WorkerId,
     },
     common::{CHAT, CUSTOMERS, DISPATCH, READ},
 };
@@ -231,12 +231,7 @@
     core.handle(later(2_100), Event::Tick);
     let waiting = core.handle(later(2_101), probed(send.worker, 1));
     assert_eq!(refused(&waiting), None);
-    let answer = Event::CallAnswered {
-        attempt: send.attempt,
-        status: 200,
-        body: "done".into(),
-    };
-    let commands = core.handle(later(4_000), answer);
+    let commands = core.handle(later(4_000), answer(send.attempt));
     assert!(matches!(commands[0], Command::Answer { .. }));
 }
 
@@ -304,3 +299,53 @@
     core.handle(later(1), probed(worker, 2));
     assert!(!takes_work(&core, "engine-a"));
 }
+
+fn answer(attempt: AttemptId) -> Event {
+    Event::CallAnswered {
+        attempt,
+        status: 200,
+        body: "done".into(),
+    }
+}
+
+#[test]
+fn a_late_answer_of_a_call_that_was_given_up_is_kept() {
+    let mut core = open();
+    let send = send_dispatch(&mut core, 1);
+    let broken = failed(send.attempt, Verdict::MayHaveRun, Failure::Broken);
+    let refusal = refused(&core.handle(later(1), broken)).expect("refused");
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+    let commands = core.handle(later(2), answer(send.attempt));
+    let Some((_, expected, Record::Once(kept))) = written(&commands) else {
+        panic!("{commands:?}");
+    };
+    assert_eq!(expected, Some(RowVersion(1)));
+    assert!(matches!(kept.state, OnceState::Done { .. }));
+    assert_eq!(commands.len(), 1);
+}
+
+#[test]
+fn a_dispatch_that_was_not_run_goes_elsewhere_under_a_new_attempt() {
+    let mut core = open();
+    let first = send_dispatch(&mut core, 1);
+    let refusing = failed(first.attempt, Verdict::NotRun, Failure::Refused);
+    let commands = core.handle(later(1), refusing);
+    let (call, expected, _) = written(&commands).expect("bound again");
+    assert_eq!(expected, Some(RowVersion(1)));
+    let bound = record_answered(call, RecordAnswer::Written(RowVersion(2)));
+    let second = sent(&core.handle(later(2), bound)).expect("sent again");
+    assert_ne!(second.worker, first.worker);
+    assert_ne!(second.attempt, first.attempt);
+}
+
+#[test]
+fn an_outage_of_the_table_service_leaves_a_bounded_table() {
+    let mut core = open();
+    for request in 1..=5_000 {
+        let mut arrival = dispatch(request);
+        arrival.once_key = Some(request.to_string());
+        core.handle(later(request * 2), Event::Arrived(arrival));
+        core.handle(later(request * 2), Event::Tick);
+    }
+    assert!(core.sizes().once <= 4_096);
+}
