--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -9,16 +9,21 @@
     crate::{
         cache::CacheIndex,
         command::{Command, Usage},
+        credit::Credits,
         declaration::{Class, Configuration, Customer},
+        demand::LevelDemand,
         event::Event,
         id::{
             AttemptId, ClassId, CustomerId, DomainId, EntryId, Generation, ModelId, RequestId,
             WeightsVersion, WorkerId,
         },
+        kept::KeptPieces,
         prefix::PrefixChain,
         record::{CallId, RecordCall},
         request::Request,
-        system::{configuration, liveness, once, request, stream},
+        ring::Offers,
+        share::{RetryBudget, Shares},
+        system::{configuration, credits, limits, liveness, once, placement, request, stream},
         table::Table,
         unit::{DurationMs, TimeMs, Tokens},
         verdict::{Cause, Refusal, Verdict},
@@ -71,6 +76,14 @@
     pub(crate) once: Table<AttemptId, once::OnceUse>,
     pub(crate) calls: Table<CallId, AttemptId>,
     pub(crate) cache: CacheIndex,
+    pub(crate) kept: KeptPieces,
+    pub(crate) offers: Offers,
+    pub(crate) demand: LevelDemand,
+    pub(crate) entries: usize,
+    pub(crate) shares: Shares,
+    pub(crate) shares_looked_at_ms: TimeMs,
+    pub(crate) retries: RetryBudget,
+    pub(crate) credits: Credits,
     pub(crate) shutting_down: bool,
     next_attempt: u64,
     next_call: u64,
@@ -94,6 +107,14 @@
             once: Table::default(),
             calls: Table::default(),
             cache: CacheIndex::default(),
+            kept: KeptPieces::default(),
+            offers: Offers::default(),
+            demand: LevelDemand::default(),
+            entries: 1,
+            shares: Shares::default(),
+            shares_looked_at_ms: TimeMs::default(),
+            retries: RetryBudget::default(),
+            credits: Credits::default(),
             shutting_down: false,
             next_attempt: 0,
             next_call: 0,
@@ -143,13 +164,18 @@
                 request::failed(self, attempt, verdict, failure);
             }
             Event::CallerLeft { request } => request::caller_left(self, request),
-            Event::RecordAnswered { call, answer } => once::answered(self, call, answer),
+            Event::RecordAnswered { call, answer } => {
+                if !credits::answered(self, call, &answer) {
+                    once::answered(self, call, answer);
+                }
+            }
             Event::Probed {
                 worker,
                 incarnation,
             } => liveness::probed(self, worker, incarnation),
             Event::Load(report) => liveness::load(self, report),
             Event::Cache(report) => liveness::cache(self, &report),
+            Event::CacheSnapshot(snapshot) => liveness::cache_snapshot(self, &snapshot),
             Event::WorkerLeaving {
                 worker,
                 incarnation,
@@ -166,6 +192,8 @@
         liveness::tick(self);
         stream::tick(self);
         once::tick(self);
+        limits::tick(self);
+        credits::tick(self);
     }
 
     /// The generation of the configuration in force.
@@ -201,7 +229,7 @@
     /// The prefix of a prompt that is believed to be cached in the worker's life as known.
     #[must_use]
     pub fn believed_cached(&self, worker: WorkerId, chain: &PrefixChain) -> Tokens {
-        self.cache.cached(worker, chain)
+        self.cache.cached(worker, chain, self.now)
     }
 
     /// The rows that are kept for requests in progress and unsettled keys.
@@ -259,13 +287,15 @@
         self.emit(Command::Refuse { request, refusal });
     }
 
-    pub(crate) fn complete(&mut self, request: RequestId, usage: Usage) {
+    pub(crate) fn complete(&mut self, request: RequestId, mut usage: Usage) {
+        usage.cost_microcredits = credits::settle(self, request, usage.answer_tokens);
         self.forget(request);
         self.emit(Command::Complete { request, usage });
     }
 
     /// Ends a request: its attempt, if any, no longer counts.
     pub(crate) fn forget(&mut self, request: RequestId) {
+        credits::release(self, request);
         self.end_attempt(request);
         self.requests.remove(&request);
     }
@@ -279,6 +309,7 @@
             return;
         };
         self.attempts.remove(&attempt.id);
+        placement::ended(self, &attempt);
         if let Some(worker) = self.workers.get_mut(&attempt.worker) {
             worker.in_flight = worker.in_flight.saturating_sub(1);
         }
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -1,10 +1,11 @@
 //! Requests in progress and their attempts.
 
 use crate::{
+    credit::Charge,
     event::Arrival,
     id::{AttemptId, ClassId, CustomerId, Incarnation, OnceKey, RequestId, WorkerId},
-    prefix::PrefixScope,
-    unit::{DurationMs, TimeMs, Tokens},
+    prefix::{PrefixChain, PrefixScope},
+    unit::{DurationMs, MicroCredits, TimeMs, Tokens},
     verdict::Verdict,
 };
 
@@ -21,6 +22,10 @@
     pub prompt_tokens: Tokens,
     /// Its idempotency key, when its class may not be repeated.
     pub once: Option<OnceKey>,
+    /// Whether its target was found to be in reach: it is not declined any more.
+    pub admitted: bool,
+    /// What was charged for it beforehand.
+    pub charges: Vec<Charge>,
     /// The attempt in progress.
     pub attempt: Option<Attempt>,
     /// Attempts that were sent.
@@ -44,6 +49,12 @@
         self.arrival.customer
     }
 
+    /// Some tokens of the prompt with the longest answer that is asked for.
+    #[must_use]
+    pub const fn with_answer(&self, tokens: Tokens) -> Tokens {
+        Tokens(tokens.0.saturating_add(self.arrival.max_answer_tokens.0))
+    }
+
     /// The class.
     #[must_use]
     pub const fn class(&self) -> ClassId {
@@ -70,8 +81,33 @@
     pub predicted_ms: DurationMs,
     /// Prompt tokens that were expected to be computed.
     pub uncached_tokens: Tokens,
+    /// What was expected of it.
+    pub expected: Expectation,
     /// Whether any piece has come.
     pub streaming: bool,
     /// When its worker was last probed because of its silence; none while it isn't silent.
     pub probed_at_ms: Option<TimeMs>,
 }
+
+/// What was expected of an attempt when it was sent, to learn from how it turns out.
+#[derive(Clone, Debug, Default)]
+pub struct Expectation {
+    /// The prompt's pieces; none for a plain service.
+    pub chain: PrefixChain,
+    /// The first pieces that the worker was believed to have cached.
+    pub cached_pieces: usize,
+    /// The time since the least recent use of one of them.
+    pub cache_age_ms: DurationMs,
+    /// The first pieces that it was to have after its import; zero without one.
+    pub imported_pieces: usize,
+    /// The first pieces that it was to export; zero without an export.
+    pub exported_pieces: usize,
+    /// The first token's predicted time from sending, before its correction.
+    pub uncorrected_ms: DurationMs,
+    /// The part of the predicted time that is its own work, not waiting.
+    pub work_ms: DurationMs,
+    /// What a thousand computed tokens cost on the worker.
+    pub price: MicroCredits,
+    /// When the first piece of the answer came.
+    pub streaming_since_ms: Option<TimeMs>,
+}
--- a/core/src/system/request.rs
+++ b/core/src/system/request.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        liveness, once,
+        credits, limits, liveness, once,
         placement::{self, Placement},
     },
     crate::{
@@ -53,6 +53,8 @@
         prompt_tokens: tokens_of_bytes(bytes),
         arrival,
         once,
+        admitted: false,
+        charges: Vec::new(),
         attempt: None,
         attempts_sent: 0,
         verdict: Verdict::NotRun,
@@ -63,11 +65,18 @@
     };
     let recorded_first = request.once.is_some();
     core.requests.insert(id, request);
-    if recorded_first {
-        once::record(core, id);
-    } else {
+    if !recorded_first {
         send(core, id);
+        return;
     }
+    if let Err(declined) = limits::place(core, id, &class) {
+        core.refuse(id, Verdict::NotRun, declined.cause, declined.retry_after_ms);
+        return;
+    }
+    if let Some(request) = core.requests.get_mut(&id) {
+        request.admitted = true;
+    }
+    once::record(core, id);
 }
 
 fn admit(core: &Core, arrival: &Arrival) -> Result<Class, Cause> {
@@ -135,21 +144,27 @@
         return false;
     };
     let class = class.clone();
-    let Some(placed) = placement::place(core, id, &class) else {
-        core.refuse(id, Verdict::NotRun, Cause::NoWorker, RETRY_AFTER_MS);
-        return false;
+    let placed = match limits::place(core, id, &class) {
+        Ok(placed) => placed,
+        Err(declined) => {
+            core.refuse(id, Verdict::NotRun, declined.cause, declined.retry_after_ms);
+            return false;
+        }
     };
-    dispatch(core, id, attempt, placed);
+    dispatch(core, id, &class, attempt, placed);
     true
 }
 
 /// Sends a request as the given attempt to where it was placed.
-fn dispatch(core: &mut Core, id: RequestId, attempt: AttemptId, placed: Placement) {
+fn dispatch(core: &mut Core, id: RequestId, class: &Class, attempt: AttemptId, placed: Placement) {
     let now = core.now;
+    let priority = core
+        .requests
+        .get(&id)
+        .map_or(u32::MAX, |request| limits::priority(core, request, class));
     let Some(request) = core.requests.get_mut(&id) else {
         return;
     };
-    let class = request.class();
     request.attempts_sent += 1;
     request.attempt = Some(Attempt {
         id: attempt,
@@ -160,6 +175,7 @@
         heard_at_ms: now,
         predicted_ms: placed.predicted_ms,
         uncached_tokens: placed.uncached_tokens,
+        expected: placed.expected,
         streaming: false,
         probed_at_ms: None,
     });
@@ -167,18 +183,17 @@
     core.attempts.insert(attempt, id);
     if let Some(worker) = core.workers.get_mut(&placed.worker) {
         worker.in_flight += 1;
-        worker.sent.push_back((now, placed.uncached_tokens));
+        worker.note_sent(placed.uncached_tokens, now);
     }
-    let target_ms = core
-        .classes
-        .get(&class)
-        .map_or(u64::MAX, |class| class.first_token_target_ms.0);
+    placement::sent(core, id);
+    limits::sent(core, id);
+    credits::reserve(core, id);
     core.emit(Send {
         request: id,
         attempt,
         worker: placed.worker,
         incarnation: placed.incarnation,
-        priority: u32::try_from(target_ms).unwrap_or(u32::MAX),
+        priority,
         scope: placed.scope,
         resume_offset_bytes,
         import: placed.import,
@@ -210,17 +225,19 @@
 /// its worker.
 pub fn resume_on_same(core: &mut Core, id: RequestId, silent: &Attempt) {
     let worker = core.workers.get(&silent.worker);
-    let tries_left = core
-        .requests
-        .get(&id)
-        .is_some_and(|request| request.attempts_sent < MAX_ATTEMPTS);
+    let Some(request) = core.requests.get(&id) else {
+        return;
+    };
+    let tries_left = request.attempts_sent < MAX_ATTEMPTS;
+    let class = core.classes.get(&request.class()).cloned();
     let weights_in_force = silent
         .scope
         .is_some_and(|scope| core.models.get(&scope.model) == Some(&scope.weights));
-    if !tries_left || !weights_in_force || !worker.is_some_and(Worker::takes_work) {
+    let may_resume = tries_left && weights_in_force && worker.is_some_and(Worker::takes_work);
+    let Some(class) = class.filter(|_| may_resume) else {
         failed(core, silent.id, Verdict::MayHaveRun, Failure::Broken);
         return;
-    }
+    };
     if let Some(request) = core.requests.get_mut(&id) {
         request.verdict = Verdict::MayHaveRun;
     }
@@ -238,19 +255,22 @@
         uncached_tokens: silent.uncached_tokens,
         import: Vec::new(),
         export: Vec::new(),
+        expected: silent.expected.clone(),
     };
-    dispatch(core, id, attempt, placed);
+    dispatch(core, id, &class, attempt, placed);
 }
 
-/// Whether a request has tries left and a worker to go to.
-pub fn may_send_again(core: &Core, id: RequestId) -> bool {
+/// Whether a request has tries left and a worker to go to, and the budget of retries allows one.
+pub fn may_send_again(core: &mut Core, id: RequestId) -> bool {
     let Some(request) = core.requests.get(&id) else {
         return false;
     };
     let Some(class) = core.classes.get(&request.class()) else {
         return false;
     };
-    request.attempts_sent < MAX_ATTEMPTS && placement::place(core, id, class).is_some()
+    let possible =
+        request.attempts_sent < MAX_ATTEMPTS && placement::place(core, id, class).is_some();
+    possible && limits::may_retry(core, id)
 }
 
 /// Takes a plain service's answer in.
@@ -259,6 +279,7 @@
         once::done(core, attempt, status, body);
         return;
     };
+    placement::answered(core, id);
     core.forget(id);
     core.emit(Command::Answer {
         request: id,
@@ -282,6 +303,7 @@
     request.verdict = request.verdict.max(verdict);
     let once = request.once.is_some();
     let tries_left = request.attempts_sent < MAX_ATTEMPTS;
+    placement::failed(core, id);
     core.end_attempt(id);
     if let Some(worker) = worker
         && verdict == Verdict::MayHaveRun
@@ -298,7 +320,7 @@
         once::failed(core, id, attempt, verdict);
         return;
     }
-    if tries_left {
+    if tries_left && limits::may_retry(core, id) {
         send(core, id);
         return;
     }
--- a/src/poller.rs
+++ b/src/poller.rs
@@ -6,9 +6,9 @@
         driver::Driver,
         platform::Platform,
         timer::Timer,
-        worker_link::WorkerLink,
+        worker_link::{CachePosition, WorkerLink},
     },
-    cactusspur_core::{CacheSequence, DurationMs, Event, Generation, TICK_MS, Table, WorkerId},
+    cactusspur_core::{DurationMs, Event, Generation, TICK_MS, Table, WorkerId},
     error_stack::Report,
     futures::StreamExt,
     std::{cell::RefCell, rc::Rc, sync::Arc},
@@ -85,7 +85,7 @@
     let link = WorkerLink::open(Arc::clone(&driver)).await;
     let mut ticks = timer.subscribe(REPORT_INTERVAL_MS);
     ntex::rt::spawn(async move {
-        let positions: Rc<RefCell<Table<WorkerId, CacheSequence>>> = Rc::default();
+        let positions: Rc<RefCell<Table<WorkerId, CachePosition>>> = Rc::default();
         while ticks.next().await.is_some() {
             let workers: Vec<WorkerId> =
                 driver.inspect(|core| core.workers().map(|worker| worker.id).collect());
@@ -100,11 +100,11 @@
 
 async fn report(
     link: &WorkerLink,
-    positions: &RefCell<Table<WorkerId, CacheSequence>>,
+    positions: &RefCell<Table<WorkerId, CachePosition>>,
     worker: WorkerId,
 ) {
     link.poll_load(worker).await;
-    let after = positions.borrow().get(&worker).copied().unwrap_or_default();
-    let next = link.poll_cache(worker, after).await;
+    let from = positions.borrow().get(&worker).copied().unwrap_or_default();
+    let next = link.poll_cache(worker, from).await;
     positions.borrow_mut().insert(worker, next);
 }
