--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -85,8 +85,8 @@
     pub expected: Expectation,
     /// Whether any piece has come.
     pub streaming: bool,
-    /// Whether the worker is being probed because of it.
-    pub probing: bool,
+    /// When its worker was last probed because of its silence; none while it isn't silent.
+    pub probed_at_ms: Option<TimeMs>,
 }
 
 /// What was expected of an attempt when it was sent, to learn from how it turns out.
--- a/core/tests/promises.rs
+++ b/core/tests/promises.rs
@@ -5,8 +5,8 @@
 use {
     cactusspur_core::{
         Arrival, AttemptId, CacheChange, CacheReport, CacheSequence, CallId, Command, Core,
-        DurationMs, Event, Failure, Incarnation, PrefixChain, Record, RecordAnswer, RecordCall,
-        Refusal, Row, RowVersion, Send, TimeMs, Verdict, VmList, WorkerId,
+        DurationMs, Event, Failure, Incarnation, OnceState, PrefixChain, Record, RecordAnswer,
+        RecordCall, Refusal, Row, RowVersion, Send, TimeMs, Verdict, VmList, WorkerId,
     },
     common::{CHAT, CUSTOMERS, DISPATCH, READ},
 };
@@ -209,3 +209,143 @@
     assert_eq!(core.workers().count(), 0);
     assert_eq!(core.believed_cached(send.worker, &chain).0, 0);
 }
+
+fn probed(worker: WorkerId, incarnation: u64) -> Event {
+    Event::Probed {
+        worker,
+        incarnation: Some(Incarnation(incarnation)),
+    }
+}
+
+/// Binds the key of a dispatch and sends it.
+fn send_dispatch(core: &mut Core, request: u64) -> Send {
+    let bind = written(&core.handle(START, Event::Arrived(dispatch(request)))).expect("bound");
+    let answer = RecordAnswer::Written(RowVersion(1));
+    sent(&core.handle(START, record_answered(bind.0, answer))).expect("sent")
+}
+
+#[test]
+fn a_slow_call_is_not_given_up_while_its_worker_lives() {
+    let mut core = open();
+    let send = send_dispatch(&mut core, 1);
+    core.handle(later(2_100), Event::Tick);
+    let waiting = core.handle(later(2_101), probed(send.worker, 1));
+    assert_eq!(refused(&waiting), None);
+    let commands = core.handle(later(4_000), answer(send.attempt));
+    assert!(matches!(commands[0], Command::Answer { .. }));
+}
+
+fn piece(attempt: AttemptId, offset_bytes: u64, text: &'static str) -> Event {
+    Event::Piece {
+        attempt,
+        offset_bytes,
+        text: text.into(),
+    }
+}
+
+#[test]
+fn a_silent_stream_goes_on_at_the_same_engine() {
+    let mut core = open();
+    let first = sent(&core.handle(START, Event::Arrived(chat(1)))).expect("sent");
+    core.handle(START, piece(first.attempt, 0, "four"));
+    let asked = core.handle(later(1_100), Event::Tick);
+    assert_eq!(asked.len(), 1, "{asked:?}");
+    let commands = core.handle(later(1_101), probed(first.worker, 1));
+    let second = sent(&commands).expect("sent again");
+    assert_eq!(
+        (second.worker, second.resume_offset_bytes),
+        (first.worker, 4)
+    );
+    assert!(cancelled(&commands, &first));
+}
+
+#[test]
+fn a_silent_stream_is_probed_again_when_the_probe_answer_is_lost() {
+    let mut core = open();
+    let first = sent(&core.handle(START, Event::Arrived(chat(1)))).expect("sent");
+    core.handle(START, piece(first.attempt, 0, "four"));
+    let worker = first.worker;
+    core.handle(later(1_100), Event::Tick);
+    let again = core.handle(later(2_700), Event::Tick);
+    assert!(again.contains(&Command::Probe { worker }));
+}
+
+fn cancelled(commands: &[Command], send: &Send) -> bool {
+    commands.contains(&Command::Cancel {
+        attempt: send.attempt,
+        worker: send.worker,
+    })
+}
+
+#[test]
+fn a_gap_in_a_stream_cancels_the_attempt() {
+    let mut core = open();
+    let first = sent(&core.handle(START, Event::Arrived(chat(1)))).expect("sent");
+    let commands = core.handle(START, piece(first.attempt, 9, "late"));
+    assert!(cancelled(&commands, &first));
+    assert!(sent(&commands).is_some());
+}
+
+#[test]
+fn a_life_that_says_it_leaves_before_it_is_known_gets_no_work() {
+    let mut core = open();
+    let worker = WorkerId::of("engine-a");
+    let incarnation = Incarnation(2);
+    let leaving = Event::WorkerLeaving {
+        worker,
+        incarnation,
+    };
+    core.handle(START, leaving);
+    core.handle(later(1), probed(worker, 2));
+    assert!(!takes_work(&core, "engine-a"));
+}
+
+fn answer(attempt: AttemptId) -> Event {
+    Event::CallAnswered {
+        attempt,
+        status: 200,
+        body: "done".into(),
+    }
+}
+
+#[test]
+fn a_late_answer_of_a_call_that_was_given_up_is_kept() {
+    let mut core = open();
+    let send = send_dispatch(&mut core, 1);
+    let broken = failed(send.attempt, Verdict::MayHaveRun, Failure::Broken);
+    let refusal = refused(&core.handle(later(1), broken)).expect("refused");
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+    let commands = core.handle(later(2), answer(send.attempt));
+    let Some((_, expected, Record::Once(kept))) = written(&commands) else {
+        panic!("{commands:?}");
+    };
+    assert_eq!(expected, Some(RowVersion(1)));
+    assert!(matches!(kept.state, OnceState::Done { .. }));
+    assert_eq!(commands.len(), 1);
+}
+
+#[test]
+fn a_dispatch_that_was_not_run_goes_elsewhere_under_a_new_attempt() {
+    let mut core = open();
+    let first = send_dispatch(&mut core, 1);
+    let refusing = failed(first.attempt, Verdict::NotRun, Failure::Refused);
+    let commands = core.handle(later(1), refusing);
+    let (call, expected, _) = written(&commands).expect("bound again");
+    assert_eq!(expected, Some(RowVersion(1)));
+    let bound = record_answered(call, RecordAnswer::Written(RowVersion(2)));
+    let second = sent(&core.handle(later(2), bound)).expect("sent again");
+    assert_ne!(second.worker, first.worker);
+    assert_ne!(second.attempt, first.attempt);
+}
+
+#[test]
+fn an_outage_of_the_table_service_leaves_a_bounded_table() {
+    let mut core = open();
+    for request in 1..=5_000 {
+        let mut arrival = dispatch(request);
+        arrival.once_key = Some(request.to_string());
+        core.handle(later(request * 2), Event::Arrived(arrival));
+        core.handle(later(request * 2), Event::Tick);
+    }
+    assert!(core.sizes().once <= 4_096);
+}
