--- a/standins/src/engine/batch.rs
+++ b/standins/src/engine/batch.rs
@@ -282,9 +282,12 @@
         let Some(attempt) = self.attempts.get_mut(&chunk.turn) else {
             return true;
         };
+        let before = attempt.computed().len();
         attempt.left_tokens -= chunk.tokens;
-        let computed = attempt.computed().to_vec();
         let done = attempt.left_tokens == 0;
+        // The whole prompt is used once more at the end, so that its end is evicted first.
+        let from = if done { 0 } else { before };
+        let computed = attempt.computed()[from..].to_vec();
         self.store(&computed);
         if done {
             self.start_decode(chunk.turn, now);
--- a/standins/src/engine/chat.rs
+++ b/standins/src/engine/chat.rs
@@ -14,6 +14,7 @@
     ntex::{
         channel::mpsc::{self, Receiver},
         http::StatusCode,
+        io::{IoRef, OnDisconnect},
         util,
         web::{HttpRequest, HttpResponse},
     },
@@ -30,6 +31,7 @@
 
 pub(super) async fn chat(request: HttpRequest, engine: Shared, body: util::Bytes) -> HttpResponse {
     let connection = engine.connections.of(&request);
+    let disconnected = request.io().map(IoRef::on_disconnect);
     let answer = async {
         let chat: ChatRequest = match serde_json::from_slice(&body) {
             Ok(chat) => chat,
@@ -44,6 +46,7 @@
                 .streaming(AnswerStream {
                     engine: engine.get_ref().clone(),
                     connection,
+                    disconnected,
                     turn,
                     events,
                 }),
@@ -143,6 +146,7 @@
 struct AnswerStream {
     engine: Rc<Engine>,
     connection: Option<Rc<Connection>>,
+    disconnected: Option<OnDisconnect>,
     turn: Turn,
     events: Events,
 }
@@ -151,6 +155,13 @@
     type Item = Result<util::Bytes, io::Error>;
 
     fn poll_next(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        // The HTTP service looks at the connection only when it has something to send.
+        if let Some(disconnected) = &self.disconnected
+            && disconnected.poll_ready(context).is_ready()
+        {
+            self.engine.batch.borrow_mut().cancel(self.turn);
+            return Poll::Ready(None);
+        }
         if let Some(connection) = &self.connection {
             ready!(self.engine.connections.poll_answering(connection, context));
         }
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -81,7 +81,8 @@
         .route("/standin/faults", web::post().to(set_faults));
 }
 
-async fn call(request: HttpRequest, plain: State<Rc<Plain>>) -> HttpResponse {
+/// Reads the whole body, since an answer before its end would break the connection.
+async fn call(request: HttpRequest, plain: State<Rc<Plain>>, _body: Bytes) -> HttpResponse {
     plain
         .connections
         .answer(&request, run(&plain, &request))
