--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,12 +6,18 @@
 pub mod cache;
 pub mod command;
 pub mod core;
+pub mod credit;
+pub mod decay;
 pub mod declaration;
+pub mod demand;
 pub mod event;
 pub mod id;
+pub mod kept;
 pub mod prefix;
 pub mod record;
 pub mod request;
+pub mod ring;
+pub mod share;
 mod system;
 pub mod table;
 pub mod unit;
@@ -20,11 +26,11 @@
 
 pub use crate::{
     command::{Command, Send, Usage},
-    core::{Core, CoreSettings, TICK_MS},
+    core::{Core, CoreSettings, TICK_MS, TableSizes},
     declaration::{Class, Configuration, CreditGrant, Customer, Declarations, Model, ServedBy},
     event::{
-        Arrival, CacheChange, CacheReport, Event, Failure, LoadReport, RETRY_AFTER_MS, Vm, VmList,
-        VmRole,
+        Arrival, CacheChange, CacheReport, CacheSnapshot, Event, Failure, LoadReport,
+        RETRY_AFTER_MS, Vm, VmList, VmRole,
     },
     id::{
         AttemptId, CacheSequence, ClassId, CustomerId, DomainId, EntryId, FencingNumber,
--- a/core/src/system/stream.rs
+++ b/core/src/system/stream.rs
@@ -1,7 +1,7 @@
 //! Puts a model's answer together from the pieces of its attempts, in order and once.
 
 use {
-    super::{liveness, request},
+    super::{liveness, placement, request},
     crate::{
         command::{Command, Usage},
         core::Core,
@@ -22,6 +22,7 @@
 fn heard(request: &mut Request, now: TimeMs) -> Option<&mut Attempt> {
     let attempt = request.attempt.as_mut()?;
     attempt.heard_at_ms = now;
+    attempt.probed_at_ms = None;
     Some(attempt)
 }
 
@@ -33,7 +34,7 @@
     cached_tokens: Tokens,
 ) {
     let now = core.now;
-    let Some((request, _)) = live(core, attempt) else {
+    let Some((request, id)) = live(core, attempt) else {
         return;
     };
     if request.attempts_sent == 1 {
@@ -45,6 +46,7 @@
     attempt.incarnation = Some(incarnation);
     let worker = attempt.worker;
     liveness::seen_alive(core, worker, incarnation);
+    placement::accepted(core, id, cached_tokens);
 }
 
 /// Takes a piece in. Pieces of other attempts, and what was delivered already, are dropped.
@@ -61,6 +63,10 @@
     if let Some(attempt) = heard(request, now) {
         attempt.streaming = true;
     }
+    placement::first_piece(core, id);
+    let Some((request, _)) = live(core, attempt) else {
+        return;
+    };
     let known = usize::try_from(delivered - offset_bytes).unwrap_or(usize::MAX);
     if known >= text.len() {
         return;
@@ -96,43 +102,55 @@
         cost_microcredits: MicroCredits(0),
         attempts: request.attempts_sent,
     };
+    placement::answered(core, id);
     core.complete(id, usage);
 }
 
 /// Asks workers over a new connection whose attempts have gone silent.
 pub fn tick(core: &mut Core) {
     let now = core.now;
-    let silent: Vec<(RequestId, WorkerId)> = core
+    let mut silent: Vec<WorkerId> = core
         .requests
-        .iter()
-        .filter_map(|(id, request)| request.attempt.as_ref().map(|attempt| (*id, attempt)))
-        .filter(|(_, attempt)| !attempt.probing)
-        .filter(|(_, attempt)| now.since(attempt.heard_at_ms) > request::silence_limit_ms(attempt))
-        .map(|(id, attempt)| (id, attempt.worker))
+        .iter_mut()
+        .filter_map(|(_, request)| request.attempt.as_mut())
+        .filter(|attempt| probe_due(attempt, now))
+        .map(|attempt| {
+            attempt.probed_at_ms = Some(now);
+            attempt.worker
+        })
         .collect();
-    for (id, worker) in silent {
-        let attempt = core
-            .requests
-            .get_mut(&id)
-            .and_then(|request| request.attempt.as_mut());
-        if let Some(attempt) = attempt {
-            attempt.probing = true;
-        }
+    silent.sort_unstable();
+    silent.dedup();
+    for worker in silent {
         core.emit(Command::Probe { worker });
     }
 }
 
-/// Takes the result of a probe in: silent attempts on that worker are given up.
-pub fn probed(core: &mut Core, worker: WorkerId, _incarnation: Option<Incarnation>) {
-    let silent: Vec<AttemptId> = core
+fn probe_due(attempt: &Attempt, now: TimeMs) -> bool {
+    match attempt.probed_at_ms {
+        Some(at) => now.since(at) > liveness::PROBE_LIMIT_MS,
+        None => now.since(attempt.heard_at_ms) > request::silence_limit_ms(attempt),
+    }
+}
+
+/// Takes the result of a probe in: silent streams on that worker go on over a new connection, or
+/// elsewhere; silent calls of plain services wait on, up to their limit.
+pub fn probed(core: &mut Core, worker: WorkerId, incarnation: Option<Incarnation>) {
+    let silent: Vec<(RequestId, Attempt)> = core
         .requests
         .iter()
-        .filter_map(|(_, request)| request.attempt.as_ref())
-        .filter(|attempt| attempt.worker == worker && attempt.probing)
-        .map(|attempt| attempt.id)
+        .filter_map(|(id, request)| Some((*id, request.attempt.clone()?)))
+        .filter(|(_, attempt)| attempt.worker == worker && attempt.probed_at_ms.is_some())
         .collect();
-    for attempt in silent {
-        core.emit(Command::Cancel { attempt, worker });
-        request::failed(core, attempt, Verdict::MayHaveRun, Failure::Broken);
+    for (id, attempt) in silent {
+        let same_life = incarnation.is_some() && attempt.incarnation == incarnation;
+        if attempt.scope.is_none() && request::may_wait(core, id, &attempt, incarnation) {
+            continue;
+        }
+        if attempt.scope.is_some() && same_life {
+            request::resume_on_same(core, id, &attempt);
+        } else {
+            request::failed(core, attempt.id, Verdict::MayHaveRun, Failure::Broken);
+        }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,34 @@
-//! x
+//! A router for language-model traffic with long shared prompts.
+//!
+//! The decisions are in [`cactusspur_core`]; this crate is what surrounds them: callers, links to
+//! workers, the platform, operators.
+
+pub mod callers;
+pub mod change;
+pub mod configuration_log;
+pub mod daemon;
+pub mod declaration_file;
+pub mod driver;
+pub mod openai;
+pub mod operator;
+pub mod operators;
+pub mod outbound;
+pub mod platform;
+pub mod poller;
+pub mod settings;
+pub mod telemetry;
+pub mod timeline;
+pub mod timer;
+pub mod worker_link;
+
+pub use {
+    crate::{
+        daemon::{Addresses, Daemon, DaemonError},
+        driver::{CallerEvent, Driver},
+        platform::{Platform, PlatformError, ValueRow, WriteOutcome},
+        settings::{LogFormat, Settings, SettingsError},
+        telemetry::{open_log, open_metrics},
+        timer::Timer,
+    },
+    cactusspur_core as core,
+};
--- /dev/null
+++ b/src/poller.rs
@@ -0,0 +1,110 @@
+//! What a process asks for again and again: the list of VMs, the configuration, workers' reports.
+
+use {
+    crate::{
+        configuration_log::{ConfigurationLog, LogError},
+        driver::Driver,
+        platform::Platform,
+        timer::Timer,
+        worker_link::{CachePosition, WorkerLink},
+    },
+    cactusspur_core::{DurationMs, Event, Generation, TICK_MS, Table, WorkerId},
+    error_stack::Report,
+    futures::StreamExt,
+    std::{cell::RefCell, rc::Rc, sync::Arc},
+};
+
+/// How often the list of VMs is read.
+const VMS_INTERVAL_MS: DurationMs = DurationMs(500);
+/// How often workers are asked for their load and the changes of their cache.
+const REPORT_INTERVAL_MS: DurationMs = DurationMs(250);
+/// How often the configuration is looked for.
+const CONFIGURATION_INTERVAL_MS: DurationMs = DurationMs(500);
+
+/// Ticks the core.
+pub fn spawn_ticks(timer: &Timer, driver: Arc<Driver>) {
+    let mut ticks = timer.subscribe(TICK_MS);
+    ntex::rt::spawn(async move {
+        while ticks.next().await.is_some() {
+            driver.handle(Event::Tick);
+        }
+    });
+}
+
+/// Reads the list of VMs.
+pub fn spawn_vms(timer: &Timer, driver: Arc<Driver>, platform: Platform) {
+    let mut ticks = timer.subscribe(VMS_INTERVAL_MS);
+    ntex::rt::spawn(async move {
+        loop {
+            match platform.vms().await {
+                Ok(list) => driver.vms(list),
+                Err(error) => tracing::debug!(?error, "the list of VMs can't be read"),
+            }
+            if ticks.next().await.is_none() {
+                return;
+            }
+        }
+    });
+}
+
+/// Looks for a newer configuration.
+pub fn spawn_configuration(timer: &Timer, driver: Arc<Driver>, platform: Platform) {
+    let mut ticks = timer.subscribe(CONFIGURATION_INTERVAL_MS);
+    ntex::rt::spawn(async move {
+        let log = ConfigurationLog::open(platform);
+        loop {
+            if let Err(report) = catch_up(&log, &driver).await {
+                tracing::debug!(?report, "the configuration can't be read");
+            }
+            if ticks.next().await.is_none() {
+                return;
+            }
+        }
+    });
+}
+
+/// Takes every configuration after the one in force into force.
+async fn catch_up(
+    log: &ConfigurationLog<Platform>,
+    driver: &Driver,
+) -> Result<(), Report<LogError>> {
+    let mut known = driver.inspect(|core| core.configuration().clone());
+    if known.generation == Generation(0) {
+        known = log.newest().await?;
+        driver.configure(known.clone());
+    }
+    while let Some(next) = log.next(&known).await? {
+        known = next;
+        driver.configure(known.clone());
+    }
+    Ok(())
+}
+
+/// Asks workers for their reports.
+pub async fn spawn_reports(timer: &Timer, driver: Arc<Driver>) {
+    let link = WorkerLink::open(Arc::clone(&driver)).await;
+    let mut ticks = timer.subscribe(REPORT_INTERVAL_MS);
+    ntex::rt::spawn(async move {
+        let positions: Rc<RefCell<Table<WorkerId, CachePosition>>> = Rc::default();
+        while ticks.next().await.is_some() {
+            let workers: Vec<WorkerId> =
+                driver.inspect(|core| core.workers().map(|worker| worker.id).collect());
+            for worker in workers {
+                let link = link.clone();
+                let positions = Rc::clone(&positions);
+                ntex::rt::spawn(async move { report(&link, &positions, worker).await });
+            }
+        }
+    });
+}
+
+async fn report(
+    link: &WorkerLink,
+    positions: &RefCell<Table<WorkerId, CachePosition>>,
+    worker: WorkerId,
+) {
+    link.poll_load(worker).await;
+    let from = positions.borrow().get(&worker).copied().unwrap_or_default();
+    let next = link.poll_cache(worker, from).await;
+    positions.borrow_mut().insert(worker, next);
+}
