Compare with another build of the daemon, check entry VMs' health, show the goals

Change: policy `earlier` runs another cactusspurd; the callers' balancer leaves out entry VMs that don't answer a health check; credits that lapse are given by the customers' shares; the report ends with how cactusspur stands against the best baseline.

--- a/standins/src/bin/cactusspur-load.rs
+++ b/standins/src/bin/cactusspur-load.rs
@@ -9,7 +9,7 @@
             policy::Policy,
             report::Report as LoadReport,
             rest::{self, RestReport},
-            run::Experiment,
+            run::{Experiment, longest_s},
             scenario::Scenario,
             workload::Workload,
         },
@@ -90,6 +90,9 @@
     /// Entry VMs.
     #[arg(long, default_value_t = 3, value_parser = parse_entry_vms)]
     entry_vms: usize,
+    /// The cactusspurd of another build, for the policy `earlier`.
+    #[arg(long, required_if_eq("policies", "earlier"))]
+    earlier: Option<PathBuf>,
     /// Where to save the results as JSON.
     #[arg(long)]
     json: Option<PathBuf>,
@@ -129,6 +132,7 @@
             warm_up: Duration::from_secs(self.warm_up_seconds),
             rate_per_s: self.rate,
             entry_vms: self.entry_vms,
+            earlier: self.earlier.clone(),
         }
     }
 
@@ -153,8 +157,9 @@
         println!("{report}");
         return Ok(());
     }
-    let report = arguments
-        .experiment()
+    let experiment = arguments.experiment();
+    eprintln!("at most {:.0} s", longest_s(&experiment));
+    let report = experiment
         .run(announce)
         .await
         .change_context(ExperimentError)?;
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -4,6 +4,7 @@
 pub mod call;
 pub mod cluster;
 pub mod engine_shape;
+pub mod goal;
 pub mod kitahama;
 pub mod measure;
 pub mod number;
--- a/standins/src/load/cluster.rs
+++ b/standins/src/load/cluster.rs
@@ -69,7 +69,11 @@
 
 /// What the engines have done in all.
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Add, AddAssign, Sum, Serialize, Deserialize,
+    Clone, Copy, Debug, Default, PartialEq, Eq, Add, AddAssign, Display, Sum, Serialize, Deserialize,
+)]
+#[display(
+    "{attempts} attempts, {finished} finished, {cancelled} cancelled, {computed_tokens} prompt \
+     tokens computed"
 )]
 #[serde(default)]
 pub struct EngineTotals {
@@ -96,7 +100,7 @@
     pub workload: Workload,
     /// Entry VMs, spread over the failure domains.
     pub entry_vms: usize,
-    /// How much of each customer's credits lapses, and when after the start; none for nothing.
+    /// How much of all customers' credits lapses, and when after the start; none for nothing.
     pub lapsing: Option<(MicroCredits, Duration)>,
 }
 
@@ -112,6 +116,7 @@
     engines: Vec<Server>,
     services: Vec<Server>,
     entries: Vec<Entry>,
+    daemon: PathBuf,
     directory: PathBuf,
 }
 
@@ -127,6 +132,18 @@
     /// # Errors
     /// When a process can't be started, or the cluster is not ready in time.
     pub async fn spawn(plan: &ClusterPlan) -> Result<Self, Report<ClusterError>> {
+        let daemon = beside("cactusspurd").change_context(failed("daemon"))?;
+        Self::spawn_with(plan, daemon).await
+    }
+
+    /// As [`Cluster::spawn`], with a daemon of another build.
+    ///
+    /// # Errors
+    /// As there.
+    pub async fn spawn_with(
+        plan: &ClusterPlan,
+        daemon: PathBuf,
+    ) -> Result<Self, Report<ClusterError>> {
         let client = open_client().await.change_context(failed("client"))?;
         let workload = plan.workload;
         let domains = workload.domains().len();
@@ -153,6 +170,7 @@
             engines,
             services,
             entries: Vec::new(),
+            daemon,
             directory,
         };
         cluster.start_entries(plan.entry_vms)?;
@@ -199,7 +217,7 @@
             return Err(Report::new(failed("no such entry VM")));
         };
         entry.process.kill();
-        entry.process = daemon(&entry.settings)?;
+        entry.process = start_daemon(&self.daemon, &entry.settings)?;
         Ok(())
     }
 
@@ -281,7 +299,7 @@
             let text = serde_norway::to_string(&content).change_context(failed("settings"))?;
             fs::write(&settings, text).change_context(failed("settings"))?;
             self.entries.push(Entry {
-                process: daemon(&settings)?,
+                process: start_daemon(&self.daemon, &settings)?,
                 callers,
                 operators,
                 peers,
@@ -458,7 +476,7 @@
             entry.process.kill();
         }
         for entry in &mut self.entries {
-            entry.process = daemon(&entry.settings)?;
+            entry.process = start_daemon(&self.daemon, &entry.settings)?;
         }
         Ok(())
     }
@@ -539,10 +557,9 @@
     })
 }
 
-fn daemon(settings: &Path) -> Result<Process, Report<ClusterError>> {
-    let path = beside("cactusspurd").change_context(failed("daemon"))?;
+fn start_daemon(path: &Path, settings: &Path) -> Result<Process, Report<ClusterError>> {
     let arguments = ["--settings".to_owned(), settings.display().to_string()];
-    Process::spawn(&path, &arguments).change_context(failed("daemon"))
+    Process::spawn(path, &arguments).change_context(failed("daemon"))
 }
 
 /// An address that was free a moment ago. A daemon that is started again needs the same one.
--- a/standins/src/load/plot.rs
+++ b/standins/src/load/plot.rs
@@ -22,7 +22,7 @@
 const BAR_HEIGHT: f64 = 14.0;
 const BAR_GROUP_GAP: f64 = 24.0;
 const STEPS: usize = 200;
-const COLORS: [&str; 4] = ["#1b6ca8", "#d1495b", "#edae49", "#66a182"];
+const COLORS: [&str; 5] = ["#1b6ca8", "#d1495b", "#edae49", "#66a182", "#7a5195"];
 const BAR_COLUMNS: [&str; 5] = [
     "first token p99 ms",
     "prefix hit rate",
--- a/standins/src/load/policy.rs
+++ b/standins/src/load/policy.rs
@@ -18,6 +18,9 @@
     /// The entry VMs choose.
     #[display("cactusspur")]
     Cactusspur,
+    /// The entry VMs choose, with another build of the daemon.
+    #[display("earlier")]
+    Earlier,
     /// Each engine in turn.
     #[display("round-robin")]
     RoundRobin,
@@ -29,6 +32,14 @@
     PrefixHash,
 }
 
+impl Policy {
+    /// Whether requests go to entry VMs.
+    #[must_use]
+    pub const fn uses_entries(self) -> bool {
+        matches!(self, Self::Cactusspur | Self::Earlier)
+    }
+}
+
 /// What is known of an engine's load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EngineLoad {
@@ -78,7 +89,9 @@
         let in_turn =
             |engine: &usize| (*engine + self.engines - turn % self.engines) % self.engines;
         match self.policy {
-            Policy::Cactusspur | Policy::RoundRobin => candidates.min_by_key(in_turn),
+            Policy::Cactusspur | Policy::Earlier | Policy::RoundRobin => {
+                candidates.min_by_key(in_turn)
+            }
             Policy::PrefixHash => {
                 let key = prefix_key(request);
                 candidates.max_by_key(|engine| xxh3_64_with_seed(&engine.to_le_bytes(), key))
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -181,6 +181,11 @@
 
     fn write_course(&self, out: &mut Formatter<'_>) -> fmt::Result {
         for run in &self.runs {
+            writeln!(
+                out,
+                "{} run {} engines: {}",
+                run.policy, run.repeat, run.engines
+            )?;
             if let Some(seconds) = run.recovered_after_s {
                 writeln!(
                     out,
@@ -231,7 +236,11 @@
             self.write_class(&class, out)?;
         }
         writeln!(out)?;
-        self.write_course(out)
+        self.write_course(out)?;
+        for standing in self.standings() {
+            writeln!(out, "{standing}")?;
+        }
+        Ok(())
     }
 }
 
--- a/standins/src/load/run.rs
+++ b/standins/src/load/run.rs
@@ -19,6 +19,7 @@
     cactusspur_core::MicroCredits,
     error_stack::Report,
     std::{
+        path::PathBuf,
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -45,10 +46,12 @@
     pub rate_per_s: Option<f64>,
     /// Entry VMs.
     pub entry_vms: usize,
+    /// The daemon of [`Policy::Earlier`].
+    pub earlier: Option<PathBuf>,
 }
 
-/// The credits of each customer that lapse, in microcredits a second of the run.
-const LAPSING_MICROCREDITS_PER_S: u64 = 8_000;
+/// The credits of all customers that lapse, in microcredits a second of the run.
+const LAPSING_MICROCREDITS_PER_S: u64 = 25_000;
 /// How long after a cluster is up the first request is sent.
 const START_AFTER: Duration = Duration::from_millis(300);
 
@@ -137,7 +140,7 @@
             let after = self.warm_up + self.duration.mul_f64(LAPSE_AT);
             (MicroCredits(amount), after)
         });
-        let entry_vms = if policy == Policy::Cactusspur {
+        let entry_vms = if policy.uses_entries() {
             self.entry_vms
         } else {
             0
@@ -156,7 +159,12 @@
         repeat: u32,
     ) -> Result<RunRecord, Report<ClusterError>> {
         let plan = self.cluster_plan(policy);
-        let mut cluster = Cluster::spawn(&plan).await?;
+        let mut cluster = match &self.earlier {
+            Some(daemon) if policy == Policy::Earlier => {
+                Cluster::spawn_with(&plan, daemon.clone()).await?
+            }
+            _ => Cluster::spawn(&plan).await?,
+        };
         let addresses = Addresses {
             entries: cluster.entry_addresses(),
             engines: cluster.engine_addresses(),
@@ -193,12 +201,11 @@
 
     async fn lapsed(&self, cluster: &Cluster, plan: &ClusterPlan, policy: Policy) -> Option<u64> {
         let (amount, _) = plan.lapsing?;
-        if policy != Policy::Cactusspur {
+        if !policy.uses_entries() {
             return None;
         }
-        let granted = amount.0 * self.workload.customers().len() as u64;
         let drawn = cluster.lapsing_drawn().await?;
-        Some(granted.saturating_sub(drawn))
+        Some(amount.0.saturating_sub(drawn))
     }
 }
 
@@ -217,7 +224,7 @@
 /// Sends each request at its time, whatever has become of the earlier ones.
 pub async fn play(schedule: &Schedule, sender: &Rc<Sender>, started: Instant) -> Vec<Outcome> {
     let follower = sender.clone();
-    let following = ntex::rt::spawn(async move { follower.follow_loads().await });
+    let following = ntex::rt::spawn(async move { follower.follow().await });
     let mut running = Vec::with_capacity(schedule.requests.len());
     for request in &schedule.requests {
         let intended = Intended(started + Duration::from_micros(request.at_us));
--- a/standins/src/load/sender.rs
+++ b/standins/src/load/sender.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::load::{
-        call::{BETWEEN_TRIES, Direct, Intended, REQUEST_TIMEOUT, Try, to_entry, to_worker},
+        call::{
+            BETWEEN_TRIES, Direct, Intended, REQUEST_TIMEOUT, Try, open_client, to_entry, to_worker,
+        },
         outcome::{End, Outcome},
         policy::{Chooser, EngineLoad, Policy},
         schedule::Planned,
@@ -11,9 +13,16 @@
     cactusspur_core::AttemptId,
     ntex::client::Client,
     serde_json::Value,
-    std::{cell::Cell, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        time::Duration,
+    },
 };
 
+/// How often the balancer checks entry VMs.
+const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
+/// How long the balancer waits for an entry VM's answer.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
 /// How often a baseline asks engines for their load.
 pub const LOAD_INTERVAL: Duration = Duration::from_millis(100);
 /// Addresses that one request is sent to at the most.
@@ -29,6 +38,7 @@
     engines: Vec<String>,
     services: Vec<String>,
     chooser: Chooser,
+    healthy: RefCell<Vec<bool>>,
     sent: Cell<usize>,
     attempts: Cell<u64>,
     run_id: u64,
@@ -65,6 +75,7 @@
             workload,
             policy,
             chooser: Chooser::open(policy, engines.len()),
+            healthy: RefCell::new(vec![true; entries.len()]),
             entries,
             engines,
             services,
@@ -79,9 +90,10 @@
         let turn = self.sent.get();
         self.sent.set(turn + 1);
         let trying = async {
-            match self.policy {
-                Policy::Cactusspur => self.by_entries(request, intended, turn).await,
-                _ => self.by_workers(request, intended, turn).await,
+            if self.policy.uses_entries() {
+                self.by_entries(request, intended, turn).await
+            } else {
+                self.by_workers(request, intended, turn).await
             }
         };
         tokio::time::timeout(REQUEST_TIMEOUT, trying)
@@ -95,8 +107,8 @@
 
     async fn by_entries(&self, request: &Planned, intended: Intended, turn: usize) -> Outcome {
         let mut end = no_address();
-        for entry in 0..self.entries.len().min(MAX_TRIES) {
-            let address = &self.entries[(turn + entry) % self.entries.len()];
+        for position in self.healthy_entries(turn).into_iter().take(MAX_TRIES) {
+            let address = &self.entries[position];
             match to_entry(&self.client, address, self.workload, request, intended).await {
                 Try::Ended(outcome) => return outcome,
                 Try::Elsewhere(other) => end = other,
@@ -106,6 +118,18 @@
         Outcome::without_answer(end)
     }
 
+    /// The entry VMs that answered their last health check, or all when none did.
+    fn healthy_entries(&self, turn: usize) -> Vec<usize> {
+        let count = self.entries.len();
+        let in_turn = (0..count).map(|entry| (turn + entry) % count);
+        let healthy = self.healthy.borrow();
+        let answered: Vec<usize> = in_turn.clone().filter(|entry| healthy[*entry]).collect();
+        if answered.is_empty() {
+            return in_turn.collect();
+        }
+        answered
+    }
+
     async fn by_workers(&self, request: &Planned, intended: Intended, turn: usize) -> Outcome {
         let class = self.workload.classes()[request.class];
         let tries = if class.idempotent { MAX_TRIES } else { 1 };
@@ -145,8 +169,22 @@
         }
     }
 
-    /// Asks each engine for its load in turn, until it is dropped.
-    pub async fn follow_loads(&self) {
+    /// Follows the state of what is sent to, until it is dropped: entry VMs' health as a balancer
+    /// does, engines' load where the policy wants it.
+    pub async fn follow(&self) {
+        futures::join!(self.follow_health(), self.follow_loads());
+    }
+
+    async fn follow_health(&self) {
+        while !self.entries.is_empty() {
+            let checks = self.entries.iter().map(|address| is_healthy(address));
+            let healthy = futures::future::join_all(checks).await;
+            self.healthy.replace(healthy);
+            tokio::time::sleep(HEALTH_INTERVAL).await;
+        }
+    }
+
+    async fn follow_loads(&self) {
         if !self.chooser.wants_loads() {
             return;
         }
@@ -177,6 +215,17 @@
     }
 }
 
+/// Whether something at the address answers HTTP on a new connection, whatever it says.
+async fn is_healthy(address: &str) -> bool {
+    let asked = async {
+        let client = open_client().await.ok()?;
+        let url = format!("http://{address}/v1/models");
+        client.get(url).force_close().send().await.ok()
+    };
+    let answered = tokio::time::timeout(HEALTH_TIMEOUT, asked).await;
+    answered.is_ok_and(|response| response.is_some())
+}
+
 fn no_address() -> End {
     End::Failed {
         what: "no address".to_owned(),
--- a/standins/src/load/workload.rs
+++ b/standins/src/load/workload.rs
@@ -118,6 +118,8 @@
     service_class("dispatch", "dispatch", false),
 ];
 
+/// The whole that customers' shares are parts of.
+const SHARE_WHOLE: u64 = 100;
 const GRANT_MICROCREDITS: u64 = 1_000_000_000_000;
 const MAX_COST_MICROCREDITS: u64 = 10_000_000;
 const WEIGHTS_VERSION: WeightsVersion = WeightsVersion(1);
@@ -203,7 +205,8 @@
         CustomerId::of(self.customers()[position].name)
     }
 
-    /// The declarations that an operator would write for it.
+    /// The declarations that an operator would write for it. Each customer has a part of each
+    /// grant, as large as its share of the traffic.
     #[must_use]
     pub fn declarations(self, grants: &[CreditGrant]) -> Declarations {
         Declarations {
@@ -250,6 +253,13 @@
 }
 
 fn declared_customer(customer: CustomerShape, grants: &[CreditGrant]) -> Customer {
+    let part = |grant: &CreditGrant| {
+        let amount = grant.amount_microcredits.0 / SHARE_WHOLE * u64::from(customer.share);
+        CreditGrant {
+            amount_microcredits: MicroCredits(amount),
+            ..grant.clone()
+        }
+    };
     Customer {
         name: customer.name.to_owned(),
         api_key_hashes: vec![
@@ -257,7 +267,7 @@
                 .to_hex()
                 .to_string(),
         ],
-        credits: grants.to_vec(),
+        credits: grants.iter().map(part).collect(),
     }
 }
 
--- a/standins/tests/load.rs
+++ b/standins/tests/load.rs
@@ -1,7 +1,7 @@
 //! The load tool's schedules, accounting and choices.
 
 use {
-    cactusspur_core::{PIECE_BYTES, PIECE_TOKENS},
+    cactusspur_core::{PIECE_BYTES, PIECE_TOKENS, TimeMs},
     cactusspur_standins::load::{
         kitahama,
         measure::{ALL_CHATS, COLUMNS, Observed, Spread},
@@ -13,7 +13,7 @@
         schedule::{Plan, Planned, Schedule},
         text, trust,
         unbounded::{PromptTokens, chain, unbounded},
-        workload::Workload,
+        workload::{Workload, lasting_grant},
     },
     std::time::Duration,
     test_case::test_case,
@@ -290,6 +290,65 @@
     assert_eq!(read.medians, report.medians);
 }
 
+#[test]
+fn standings_are_against_the_best_baseline() {
+    let schedule = tiny();
+    let tokens = unbounded(&schedule);
+    let run = |policy, first_token_us: u64, cached_pieces| {
+        let outcomes: Vec<Outcome> = (0..5)
+            .map(|_| complete(first_token_us, cached_pieces))
+            .collect();
+        let observed = Observed {
+            schedule: &schedule,
+            unbounded: &tokens,
+            outcomes: &outcomes,
+            counted_from_us: 0,
+            fault_at: None,
+        };
+        observed.record(policy, 0)
+    };
+    let report = Report {
+        workload: Workload::Trust,
+        scenario: Scenario::Steady,
+        seed: 7,
+        seconds: 1,
+        warm_up_seconds: 0,
+        rate_per_s: 4.0,
+        capacity_per_s: 100.0,
+        entry_vms: 3,
+        unbounded_hit_rate: 0.5,
+        runs: vec![
+            run(Policy::Cactusspur, 50_000, 4),
+            run(Policy::Earlier, 10_000, 5),
+            run(Policy::RoundRobin, 200_000, 3),
+            run(Policy::PrefixHash, 100_000, 1),
+        ],
+        medians: Vec::new(),
+    };
+    let standings = report.standings();
+    let near = |at: usize, expected: f64| (standings[at].standing - expected).abs() < 0.01;
+    assert_eq!(standings[0].of, "prefix-hash");
+    assert!(near(0, 0.5), "{}", standings[0]);
+    assert_eq!(standings[1].of, "round-robin");
+    assert!(near(1, 0.5), "{}", standings[1]);
+    assert!(near(3, 1.0), "{}", standings[3]);
+}
+
+#[test]
+fn customers_have_parts_of_grants_by_their_shares() {
+    let lapses_at_ms = TimeMs(1_000);
+    let declarations = Workload::Trust.declarations(&[lasting_grant(lapses_at_ms)]);
+    let amounts: Vec<u64> = declarations
+        .customers
+        .iter()
+        .map(|customer| customer.credits[0].amount_microcredits.0)
+        .collect();
+    assert_eq!(amounts[0], 5 * amounts[7]);
+    assert!(declarations.customers.iter().all(|customer| {
+        customer.credits.len() == 1 && customer.credits[0].lapses_at_ms == lapses_at_ms
+    }));
+}
+
 #[test_case(&[3.0, 1.0, 2.0], 2.0; "odd")]
 #[test_case(&[4.0, 1.0, 2.0, 3.0], 2.5; "even")]
 fn a_spread_has_the_median(values: &[f64], median: f64) {
