Keep the stand-ins' connections open after long answers

Cause: ntex starts the timer of a request's headers with a new connection and doesn't stop it when the headers are there. When it fires while an answer is streamed, the connection counts as idle for too long and is closed after the answer, so that a caller's next request on it breaks. Ruled out: the keep-alive limit (off), unread body (it is read to its end). Change: no limit on the headers' time in stand-ins. They also log to standard error by RUST_LOG, which showed the cause, and keep 200000 log entries.

--- a/standins/src/bin/standin.rs
+++ b/standins/src/bin/standin.rs
@@ -1,4 +1,4 @@
-//! Runs one stand-in until it is killed.
+//! Runs one stand-in until it is killed. `RUST_LOG` sets what it logs to standard error.
 
 use {
     cactusspur_standins::{
@@ -7,7 +7,8 @@
         platform::{self, PlatformSettings},
     },
     clap::{Parser, Subcommand},
-    std::{error::Error, net::SocketAddr},
+    std::{error::Error, io, net::SocketAddr},
+    tracing_subscriber::EnvFilter,
 };
 
 /// Stand-ins for the processes that cactusspur talks to.
@@ -34,6 +35,10 @@
 #[ntex::main]
 async fn main() -> Result<(), Box<dyn Error>> {
     let arguments = Arguments::parse();
+    tracing_subscriber::fmt()
+        .with_env_filter(EnvFilter::from_default_env())
+        .with_writer(io::stderr)
+        .init();
     let running = match arguments.role {
         Role::Engine(settings) => engine::bind(settings, arguments.listen),
         Role::Plain(settings) => plain::bind(settings, arguments.listen),
--- a/standins/src/log.rs
+++ b/standins/src/log.rs
@@ -7,7 +7,7 @@
 };
 
 /// The entries that a log keeps; older ones are dropped.
-const MAX_ENTRIES: usize = 500_000;
+const MAX_ENTRIES: usize = 200_000;
 
 /// One run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -72,12 +72,15 @@
             .state(PayloadConfig::new(MAX_BODY_BYTES))
             .configure(&configure)
     };
+    // With a limit on the time of a request's headers, ntex closes the connection after any answer
+    // that takes longer than that limit.
+    let http = HttpServiceConfig::new()
+        .set_keepalive(KeepAlive::Os)
+        .set_client_timeout(Seconds::ZERO);
     let server = HttpServer::new(factory)
         .workers(1)
         .shutdown_timeout(SHUTDOWN_TIMEOUT)
-        .config(
-            SharedCfg::new("standin").add(HttpServiceConfig::new().set_keepalive(KeepAlive::Os)),
-        )
+        .config(SharedCfg::new("standin").add(http))
         .listen(listener)
         .change_context_lazy(failed)?
         .run();
--- a/standins/tests/engine.rs
+++ b/standins/tests/engine.rs
@@ -19,6 +19,10 @@
     std::{collections::VecDeque, net::SocketAddr},
     support::{Caller, LIMIT, eventually},
     test_case::test_case,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
 };
 
 const CUSTOMER: u64 = 7;
@@ -420,3 +424,25 @@
         .map(|change| change["Stored"].clone())
         .collect()
 }
+
+/// A limit on the time of a request's headers must not count while an answer is streamed.
+#[ntex::test]
+async fn a_connection_stays_open_after_a_long_answer() {
+    let caller = open(&["--decode-interval-ms", "250"]).await;
+    let mut connection = TcpStream::connect(caller.address).await.unwrap();
+    for (attempt, tokens) in [(1, 15), (2, 1)] {
+        let body = with(chat(attempt, "a"), "max_tokens", json!(tokens)).to_string();
+        let path = "/v1/chat/completions";
+        let length = body.len();
+        let head = format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n");
+        connection
+            .write_all((head + &body).as_bytes())
+            .await
+            .unwrap();
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"\r\n0\r\n\r\n") {
+            let read = connection.read_buf(&mut answer).await.unwrap();
+            assert_ne!(read, 0, "closed before the end of answer {attempt}");
+        }
+    }
+}
