Learn engines' load from their answers; ask only those not heard of

Cause: each entry VM asked each worker four times a second. At 810 entry VMs and 10,000 workers that is 32 million reports a second; the control limit is 2 KB a second for a node. Ruled out: fewer polls alone (the reports would be seconds old); reports passed on between entry VMs (25 members a failure domain times 312 workers is over the limit as well). Change: an engine's first and last event of an answer carry its queue, optional in the protocol; a worker is asked only when its load was not heard of for 200 ms, 16 at a time at the most. Answers are read to their end, so that engine connections are used again.

--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -173,6 +173,7 @@
                 worker,
                 incarnation,
             } => liveness::probed(self, worker, incarnation),
+            Event::LoadNow(figures) => liveness::load_now(self, figures),
             Event::Load(report) => liveness::load(self, report),
             Event::Cache(report) => liveness::cache(self, &report),
             Event::CacheSnapshot(snapshot) => liveness::cache_snapshot(self, &snapshot),
@@ -243,6 +244,19 @@
         }
     }
 
+    /// The workers whose load was not heard of for `age_ms`, the longest unheard first, `most` at
+    /// the most.
+    #[must_use]
+    pub fn reports_due(&self, now: TimeMs, age_ms: DurationMs, most: usize) -> Vec<WorkerId> {
+        let unheard = self
+            .workers
+            .iter()
+            .map(|(id, worker)| (worker.load_heard_at_ms, *id));
+        let mut due: Vec<_> = unheard.filter(|row| now.since(row.0) >= age_ms).collect();
+        due.sort_unstable();
+        due.into_iter().map(|row| row.1).take(most).collect()
+    }
+
     /// The workers, in the order of their ids.
     pub fn workers(&self) -> impl Iterator<Item = &Worker> {
         self.workers.iter().map(|row| row.1)
--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -87,6 +87,9 @@
         /// The life that answered; none when nothing did.
         incarnation: Option<Incarnation>,
     },
+    /// A worker has said with an answer how loaded it is.
+    #[from]
+    LoadNow(LoadNow),
     /// A worker has reported its load.
     #[from]
     Load(LoadReport),
@@ -174,6 +177,21 @@
     pub cache_pieces: u64,
 }
 
+/// The figures of a load report that change quickly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadNow {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// When the figures were true, by the worker's clock.
+    pub observed_at_ms: TimeMs,
+    /// Prompt tokens that wait to be computed.
+    pub queued_tokens: Tokens,
+    /// Requests that it runs or holds.
+    pub running: u32,
+}
+
 /// Changes of a worker's cache.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheReport {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -29,7 +29,7 @@
     core::{Core, CoreSettings, TICK_MS, TableSizes},
     declaration::{Class, Configuration, CreditGrant, Customer, Declarations, Model, ServedBy},
     event::{
-        Arrival, CacheChange, CacheReport, CacheSnapshot, Event, Failure, LoadReport,
+        Arrival, CacheChange, CacheReport, CacheSnapshot, Event, Failure, LoadNow, LoadReport,
         RETRY_AFTER_MS, Vm, VmList, VmRole,
     },
     id::{
--- a/core/src/system/liveness.rs
+++ b/core/src/system/liveness.rs
@@ -5,7 +5,7 @@
     crate::{
         command::Command,
         core::Core,
-        event::{CacheReport, CacheSnapshot, LoadReport, Vm, VmList, VmRole},
+        event::{CacheReport, CacheSnapshot, LoadNow, LoadReport, Vm, VmList, VmRole},
         id::{Incarnation, WorkerId},
         table::Table,
         unit::{DurationMs, TimeMs},
@@ -71,6 +71,25 @@
     }
 }
 
+/// Takes in how loaded a worker is by its own answer. Until it has reported once, that says too
+/// little.
+pub fn load_now(core: &mut Core, figures: LoadNow) {
+    let known = core
+        .workers
+        .get(&figures.worker)
+        .and_then(|worker| worker.load.clone());
+    let Some(known) = known.filter(|known| known.incarnation == figures.incarnation) else {
+        return;
+    };
+    let report = LoadReport {
+        observed_at_ms: figures.observed_at_ms,
+        queued_tokens: figures.queued_tokens,
+        running: figures.running,
+        ..known
+    };
+    load(core, report);
+}
+
 /// Takes a load report in.
 pub fn load(core: &mut Core, report: LoadReport) {
     let id = report.worker;
--- a/core/src/worker.rs
+++ b/core/src/worker.rs
@@ -66,6 +66,8 @@
     pub incarnation: Option<Incarnation>,
     /// Its last report.
     pub load: Option<LoadReport>,
+    /// When its load was last heard of.
+    pub load_heard_at_ms: TimeMs,
     /// Work sent from here that its last report can't show yet: when, and how many uncached
     /// prompt tokens.
     pub sent: VecDeque<(TimeMs, Tokens)>,
@@ -102,6 +104,7 @@
             liveness: Liveness::Alive,
             incarnation: None,
             load: None,
+            load_heard_at_ms: TimeMs::default(),
             sent: VecDeque::new(),
             in_flight: 0,
             failures_in_row: 0,
@@ -262,6 +265,7 @@
         self.backlog = report.queued_tokens;
         self.backlog_at_ms = observed_at_ms;
         self.load = Some(report);
+        self.load_heard_at_ms = now;
         self.fade_corrections();
         for at in 0..self.sent.len() {
             let (sent_at_ms, tokens) = self.sent[at];
--- a/src/poller.rs
+++ b/src/poller.rs
@@ -5,7 +5,7 @@
         configuration_log::{ConfigurationLog, LogError},
         driver::Driver,
         platform::Platform,
-        timer::Timer,
+        timer::{Timer, now},
         worker_link::{CachePosition, WorkerLink},
     },
     cactusspur_core::{DurationMs, Event, Generation, TICK_MS, Table, WorkerId},
@@ -18,6 +18,10 @@
 const VMS_INTERVAL_MS: DurationMs = DurationMs(500);
 /// How often workers are asked for their load and the changes of their cache.
 const REPORT_INTERVAL_MS: DurationMs = DurationMs(250);
+/// How long a worker's load must not have been heard of before it is asked.
+const REPORT_AGE_MS: DurationMs = DurationMs(200);
+/// Workers that are asked for their load at one time at the most.
+const MAX_REPORTS: usize = 16;
 /// How often the configuration is looked for.
 const CONFIGURATION_INTERVAL_MS: DurationMs = DurationMs(500);
 
@@ -87,23 +91,27 @@
     ntex::rt::spawn(async move {
         let positions: Rc<RefCell<Table<WorkerId, CachePosition>>> = Rc::default();
         while ticks.next().await.is_some() {
+            let due = driver.inspect(|core| core.reports_due(now(), REPORT_AGE_MS, MAX_REPORTS));
+            for worker in due {
+                let link = link.clone();
+                ntex::rt::spawn(async move { link.poll_load(worker).await });
+            }
             let workers: Vec<WorkerId> =
                 driver.inspect(|core| core.workers().map(|worker| worker.id).collect());
             for worker in workers {
                 let link = link.clone();
                 let positions = Rc::clone(&positions);
-                ntex::rt::spawn(async move { report(&link, &positions, worker).await });
+                ntex::rt::spawn(async move { read_changes(&link, &positions, worker).await });
             }
         }
     });
 }
 
-async fn report(
+async fn read_changes(
     link: &WorkerLink,
     positions: &RefCell<Table<WorkerId, CachePosition>>,
     worker: WorkerId,
 ) {
-    link.poll_load(worker).await;
     let from = positions.borrow().get(&worker).copied().unwrap_or_default();
     let next = link.poll_cache(worker, from).await;
     positions.borrow_mut().insert(worker, next);
--- a/src/timeline/record.rs
+++ b/src/timeline/record.rs
@@ -314,7 +314,11 @@
             Event::WorkerLeaving { worker, .. } => {
                 self.push(now, Kind::Leaving, Self::of_worker(*worker), String::new());
             }
-            Event::Load(_) | Event::Cache(_) | Event::CacheSnapshot(_) | Event::Tick => {}
+            Event::Load(_)
+            | Event::LoadNow(_)
+            | Event::Cache(_)
+            | Event::CacheSnapshot(_)
+            | Event::Tick => {}
         }
     }
 
--- a/src/worker_link.rs
+++ b/src/worker_link.rs
@@ -5,8 +5,8 @@
     bytes::Bytes,
     cactusspur_core::{
         AttemptId, CacheChange, CacheReport, CacheSequence, CacheSnapshot, ClassId, CustomerId,
-        Event, Failure, Incarnation, LoadReport, MicroCredits, ModelId, PieceHash, Send, ServedBy,
-        TimeMs, Tokens, TokensPerSecond, Verdict, WeightsVersion, WorkerId,
+        Event, Failure, Incarnation, LoadNow, LoadReport, MicroCredits, ModelId, PieceHash, Send,
+        ServedBy, TimeMs, Tokens, TokensPerSecond, Verdict, WeightsVersion, WorkerId,
     },
     futures::StreamExt,
     ntex::{
@@ -50,6 +50,8 @@
         attempt_id: AttemptId,
         incarnation: Incarnation,
         cached_tokens: Tokens,
+        #[serde(default)]
+        load: Option<EngineLoad>,
     },
     Piece {
         attempt_id: AttemptId,
@@ -60,9 +62,36 @@
         attempt_id: AttemptId,
         answer_bytes: u64,
         answer_tokens: Tokens,
+        #[serde(default)]
+        incarnation: Option<Incarnation>,
+        #[serde(default)]
+        load: Option<EngineLoad>,
     },
 }
 
+/// The load of an engine, as it says with an answer.
+#[derive(Clone, Copy, Deserialize)]
+struct EngineLoad {
+    observed_at_ms: TimeMs,
+    queued_tokens: Tokens,
+    running: u32,
+}
+
+impl EngineEvent {
+    /// The load that it tells of, with the life of the engine.
+    fn load(&self) -> Option<(Incarnation, EngineLoad)> {
+        match self {
+            Self::Accepted {
+                incarnation, load, ..
+            } => Some((*incarnation, (*load)?)),
+            Self::Finished {
+                incarnation, load, ..
+            } => Some(((*incarnation)?, (*load)?)),
+            Self::Piece { .. } => None,
+        }
+    }
+}
+
 impl From<EngineEvent> for Event {
     fn from(event: EngineEvent) -> Self {
         match event {
@@ -70,6 +99,7 @@
                 attempt_id,
                 incarnation,
                 cached_tokens,
+                ..
             } => Self::AttemptAccepted {
                 attempt: attempt_id,
                 incarnation,
@@ -88,6 +118,7 @@
                 attempt_id,
                 answer_bytes,
                 answer_tokens,
+                ..
             } => Self::AttemptFinished {
                 attempt: attempt_id,
                 answer_bytes,
@@ -223,12 +254,12 @@
         if response.status() != StatusCode::OK {
             return Err(status_failure(&response));
         }
-        self.read_events(send.attempt, response).await
+        self.read_events(send, response).await
     }
 
     async fn read_events(
         &self,
-        attempt: AttemptId,
+        send: &Send,
         mut response: ClientResponse,
     ) -> Result<(), (Verdict, Failure)> {
         let mut pending: Vec<u8> = Vec::new();
@@ -237,7 +268,8 @@
             pending.extend_from_slice(&chunk);
             while let Some(end) = pending.iter().position(|byte| *byte == b'\n') {
                 let line: Vec<u8> = pending.drain(..=end).collect();
-                if self.read_line(attempt, &line)? {
+                if self.read_line(send, &line)? {
+                    read_to_end(response).await;
                     return Ok(());
                 }
             }
@@ -248,16 +280,26 @@
         Err((Verdict::MayHaveRun, Failure::Broken))
     }
 
-    /// Takes in one line of the stream of `attempt`. Returns whether it was the last.
-    fn read_line(&self, attempt: AttemptId, line: &[u8]) -> Result<bool, (Verdict, Failure)> {
+    /// Takes in one line of the stream of an attempt. Returns whether it was the last.
+    fn read_line(&self, send: &Send, line: &[u8]) -> Result<bool, (Verdict, Failure)> {
         let Some(data) = line.trim_ascii_end().strip_prefix(b"data: ") else {
             return Ok(false);
         };
         let event: EngineEvent =
             serde_json::from_slice(data).map_err(|_| (Verdict::MayHaveRun, Failure::Protocol))?;
         let last =
-            matches!(event, EngineEvent::Finished { attempt_id, .. } if attempt_id == attempt);
+            matches!(event, EngineEvent::Finished { attempt_id, .. } if attempt_id == send.attempt);
+        let load = event.load();
         self.driver.handle(event.into());
+        if let Some((incarnation, load)) = load {
+            self.driver.handle(Event::LoadNow(LoadNow {
+                worker: send.worker,
+                incarnation,
+                observed_at_ms: load.observed_at_ms,
+                queued_tokens: load.queued_tokens,
+                running: load.running,
+            }));
+        }
         Ok(last)
     }
 
@@ -408,6 +450,14 @@
     }
 }
 
+/// Reads what is left of an answer that is whole, so that its connection can be used again.
+async fn read_to_end(mut response: ClientResponse) {
+    let reading = async { while response.next().await.is_some_and(|part| part.is_ok()) {} };
+    if timeout(REPORT_TIMEOUT, reading).await.is_err() {
+        tracing::debug!("an answer's connection stays open after its end");
+    }
+}
+
 /// A client without connections, so that its first call opens one.
 async fn new_client() -> Client {
     match Client::builder()
--- a/standins/src/engine/attempt.rs
+++ b/standins/src/engine/attempt.rs
@@ -1,10 +1,12 @@
 //! Attempts on an engine.
 
 use {
-    super::wire::StreamEvent,
+    super::wire::{LoadNow, StreamEvent},
     crate::log::LogIndex,
     bytes::Bytes,
-    cactusspur_core::{AttemptId, BYTES_PER_TOKEN, CustomerId, PIECE_TOKENS, PieceHash},
+    cactusspur_core::{
+        AttemptId, BYTES_PER_TOKEN, CustomerId, Incarnation, PIECE_TOKENS, PieceHash,
+    },
     ntex::channel::mpsc::Sender,
     std::{io, time::Instant},
 };
@@ -89,11 +91,13 @@
     }
 
     /// The end of the answer.
-    pub(super) fn finished(&self) -> StreamEvent {
+    pub(super) fn finished(&self, incarnation: Incarnation, load: LoadNow) -> StreamEvent {
         StreamEvent::Finished {
             attempt_id: self.id,
             answer_bytes: self.answer.len(),
             answer_tokens: (self.answer.len() / BYTES_PER_TOKEN) as u64,
+            incarnation,
+            load,
         }
     }
 
--- a/standins/src/engine/batch.rs
+++ b/standins/src/engine/batch.rs
@@ -5,7 +5,7 @@
     super::{
         attempt::{Attempt, Stage, Turn},
         cache::{CacheEvents, PieceCache},
-        wire::StreamEvent,
+        wire::{LoadNow, StreamEvent},
     },
     crate::{
         fault::{Draws, WorkerFaults},
@@ -240,8 +240,18 @@
             .map(|(turn, _)| *turn)
     }
 
+    /// The load now.
+    fn load_now(&self) -> LoadNow {
+        LoadNow {
+            observed_at_ms: now_ms(),
+            queued_tokens: self.queued_tokens(),
+            running: self.running(),
+        }
+    }
+
     /// Starts to compute the prompt of an attempt that waits.
     fn start_prefill(&mut self, turn: Turn) {
+        let load = self.load_now();
         let Some(attempt) = self.attempts.get_mut(&turn) else {
             return;
         };
@@ -265,6 +275,7 @@
             incarnation: self.incarnation,
             prompt_tokens: attempt.prompt_tokens,
             cached_tokens,
+            load,
         });
         self.stats.attempts += 1;
         self.stats.prompt_tokens += attempt.prompt_tokens;
@@ -340,13 +351,14 @@
             self.stats.answer_tokens += 1;
             self.send_piece(turn, piece);
         }
+        let load = self.load_now();
         let Some(attempt) = self.attempts.get(&turn) else {
             return;
         };
         if attempt.sent_bytes < attempt.answer.len() {
             return;
         }
-        attempt.send(&attempt.finished());
+        attempt.send(&attempt.finished(self.incarnation, load));
         if let Some(index) = attempt.log {
             self.log.finish(index);
         }
--- a/standins/src/engine/wire.rs
+++ b/standins/src/engine/wire.rs
@@ -87,6 +87,14 @@
     text: String,
 }
 
+/// The load at the time of an event.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(super) struct LoadNow {
+    pub(super) observed_at_ms: u64,
+    pub(super) queued_tokens: u64,
+    pub(super) running: usize,
+}
+
 /// An event of an answer's stream.
 #[derive(Clone, Debug, Serialize)]
 #[serde(tag = "type", rename_all = "snake_case")]
@@ -96,6 +104,7 @@
         incarnation: Incarnation,
         prompt_tokens: u64,
         cached_tokens: u64,
+        load: LoadNow,
     },
     Piece {
         attempt_id: AttemptId,
@@ -106,6 +115,8 @@
         attempt_id: AttemptId,
         answer_bytes: usize,
         answer_tokens: u64,
+        incarnation: Incarnation,
+        load: LoadNow,
     },
 }
 
