--- a/src/configuration_log.rs
+++ b/src/configuration_log.rs
@@ -27,6 +27,8 @@
 pub const SNAPSHOT_INTERVAL: u64 = 32;
 /// How many entries a change's summary names at the most.
 pub const MAX_SUMMARY: usize = 32;
+/// How many changes are followed one by one until the head is looked at.
+const MAX_FOLLOWED: usize = 32;
 /// How often a write is tried.
 const WRITE_ATTEMPTS: u32 = 5;
 /// The wait before the second try of a write; it doubles with each.
@@ -286,6 +288,37 @@
         advance(known, &record, &change).map(Some)
     }
 
+    /// The configuration that `known` is outdated by, reached over the changes after it or, when
+    /// they are many, from the head; none when `known` is the newest.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be read.
+    pub async fn catch_up(
+        &self,
+        known: &Configuration,
+    ) -> Result<Option<Configuration>, Report<LogError>> {
+        if known.generation == Generation(0) {
+            let newest = self.newest().await?;
+            return Ok((newest.generation > known.generation).then_some(newest));
+        }
+        let mut newest: Option<Configuration> = None;
+        for _ in 0..MAX_FOLLOWED {
+            let Some(next) = self.next(newest.as_ref().unwrap_or(known)).await? else {
+                return Ok(newest);
+            };
+            newest = Some(next);
+        }
+        let head = self.head().await.unwrap_or_else(|report| {
+            tracing::warn!(?report, "the head can't be read");
+            None
+        });
+        let reached = newest
+            .as_ref()
+            .map_or(known.generation, |newest| newest.generation);
+        Ok(head.filter(|head| head.generation > reached).or(newest))
+    }
+
     /// The newest configuration, reached from the head or, when that can't be read, from the
     /// first change.
     ///
--- /dev/null
+++ b/src/control/state.rs
@@ -0,0 +1,334 @@
+//! The state of the control, shared by its tasks.
+
+use {
+    crate::{
+        change::Change,
+        configuration_log::{ChangeBody, ChangeRecord, advance},
+        membership::{
+            Heartbeat, Introduction, LoadSummary, Member, MemberState, Membership, Transition,
+        },
+        peer::{Answer, Ask, Envelope},
+        spread::{Action, Spread},
+        timeline::{HybridTime, Kind, Timeline},
+    },
+    cactusspur_core::{Configuration, EntryId, Generation, TimeMs},
+    serde::Serialize,
+    std::{collections::VecDeque, net::SocketAddr, sync::Arc},
+    tokio::sync::watch,
+};
+
+/// The changes that are remembered for peers.
+const MAX_REMEMBERED: usize = 64;
+
+/// What operators see of the control.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ControlView {
+    /// The generation in force.
+    pub generation: Generation,
+    /// How long ago the platform was last known to have no newer one, in milliseconds.
+    pub confirmed_ms_ago: Option<u64>,
+    /// Whether this process reads the table service for its failure domain.
+    pub is_poller: bool,
+    /// The other entry VMs.
+    pub members: Vec<MemberView>,
+}
+
+/// What operators see of another entry VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct MemberView {
+    /// Its name.
+    pub name: String,
+    /// The name of its failure domain.
+    pub failure_domain: String,
+    /// Whether it is alive.
+    pub state: MemberState,
+    /// Where operators connect to, once it has said so.
+    pub operators_address: Option<SocketAddr>,
+    /// The generation of its configuration.
+    pub generation: Generation,
+    /// How long ago it was last heard, in milliseconds.
+    pub heard_ms_ago: Option<u64>,
+    /// Its requests in progress.
+    pub in_progress: u64,
+}
+
+impl MemberView {
+    fn of(member: &Member, now: TimeMs) -> Self {
+        let introduction = member.introduction.as_ref();
+        Self {
+            name: member.name.clone(),
+            failure_domain: member.failure_domain.clone(),
+            state: member.state,
+            operators_address: introduction.map(|known| known.operators_address),
+            generation: member.generation,
+            heard_ms_ago: member.heard_at_ms.map(|at| now.since(at).0),
+            in_progress: member.load.in_progress,
+        }
+    }
+}
+
+/// The state of the control.
+#[derive(Debug)]
+pub(super) struct State {
+    me: Introduction,
+    pub(super) membership: Membership,
+    pub(super) spread: Spread,
+    pub(super) load: LoadSummary,
+    pub(super) leaving: bool,
+    recent: VecDeque<ChangeRecord>,
+    force: watch::Sender<Arc<Configuration>>,
+    timeline: Arc<Timeline>,
+    actions: Vec<Action>,
+    next_ask: u64,
+}
+
+impl State {
+    pub(super) fn open(
+        me: Introduction,
+        seeds: &[SocketAddr],
+        force: watch::Sender<Arc<Configuration>>,
+        timeline: Arc<Timeline>,
+    ) -> Self {
+        Self {
+            membership: Membership::open(&me, seeds),
+            spread: Spread::open(me.started_at_ms),
+            me,
+            load: LoadSummary::default(),
+            leaving: false,
+            recent: VecDeque::new(),
+            force,
+            timeline,
+            actions: Vec::new(),
+            next_ask: 0,
+        }
+    }
+
+    /// Replaces what the process says of itself, once its address is bound.
+    pub(super) fn introduce(&mut self, me: Introduction, seeds: &[SocketAddr]) {
+        self.membership = Membership::open(&me, seeds);
+        self.me = me;
+    }
+
+    fn heartbeat(&self, now: TimeMs) -> Heartbeat {
+        Heartbeat {
+            introduction: self.me.clone(),
+            generation: self.spread.generation(),
+            confirmed_ms_ago: self.spread.confirmed_ago(now).map(|ago| ago.0),
+            load: self.load.clone(),
+            leaving: self.leaving,
+        }
+    }
+
+    fn envelope<M>(&self, now: TimeMs, number: u64, message: M) -> Envelope<M> {
+        Envelope {
+            from: self.me.entry(),
+            incarnation: self.me.incarnation,
+            number,
+            sent_at: self.timeline.stamp(now),
+            message,
+        }
+    }
+
+    fn new_ask(&mut self, now: TimeMs, ask: Ask) -> Envelope<Ask> {
+        self.next_ask += 1;
+        self.envelope(now, self.next_ask, ask)
+    }
+
+    pub(super) fn new_heartbeat(&mut self, now: TimeMs) -> Envelope<Ask> {
+        let heartbeat = self.heartbeat(now);
+        self.new_ask(now, Ask::Heartbeat(heartbeat))
+    }
+
+    pub(super) fn new_pull(&mut self, now: TimeMs) -> Envelope<Ask> {
+        let after = self.spread.known().generation;
+        self.new_ask(now, Ask::PullChanges { after })
+    }
+
+    /// Answers a peer.
+    pub(super) fn answer(&mut self, now: TimeMs, ask: Envelope<Ask>) -> Envelope<Answer> {
+        self.timeline.observe(now, ask.sent_at);
+        let answer = match ask.message {
+            Ask::Heartbeat(heartbeat) => {
+                self.heard(now, ask.sent_at, heartbeat);
+                Answer::Heartbeat(self.heartbeat(now))
+            }
+            Ask::PullChanges { after } => self.changes_after(after),
+        };
+        self.envelope(now, ask.number, answer)
+    }
+
+    /// Takes a peer's heartbeat in.
+    pub(super) fn heard(&mut self, now: TimeMs, stamp: HybridTime, heartbeat: Heartbeat) {
+        let entry = heartbeat.introduction.entry();
+        let generation = heartbeat.generation;
+        let confirmed_ago = heartbeat.confirmed_ms_ago.map(Into::into);
+        if entry == self.me.entry() {
+            return;
+        }
+        let transition = self.membership.heard(now, stamp, heartbeat);
+        self.note(now, transition);
+        let actions = self.spread.heard(now, entry, generation, confirmed_ago);
+        self.actions.extend(actions);
+    }
+
+    fn note<I>(&self, now: TimeMs, transitions: I)
+    where
+        I: IntoIterator<Item = Transition>,
+    {
+        for transition in transitions {
+            tracing::info!(%transition, "an entry VM's state changed");
+            self.timeline
+                .note(now, Kind::Member, transition.to_string());
+        }
+    }
+
+    /// Takes in the answer to an ask.
+    pub(super) fn answered(&mut self, now: TimeMs, answer: Envelope<Answer>) {
+        self.timeline.observe(now, answer.sent_at);
+        match answer.message {
+            Answer::Heartbeat(heartbeat) => self.heard(now, answer.sent_at, heartbeat),
+            Answer::Changes { records_json } => self.pulled_changes(now, &records_json),
+            Answer::Snapshot { configuration_json } => {
+                let snapshot = serde_json::from_slice(&configuration_json);
+                self.pulled(now, snapshot.ok().map(Arc::new));
+            }
+            Answer::UpToDate => self.pulled(now, None),
+        }
+    }
+
+    /// Takes in that an ask for changes wasn't answered.
+    pub(super) fn pull_failed(&mut self, now: TimeMs) {
+        self.pulled(now, None);
+    }
+
+    fn pulled_changes(&mut self, now: TimeMs, records_json: &[u8]) {
+        let records: Vec<ChangeRecord> = serde_json::from_slice(records_json).unwrap_or_default();
+        let mut reached = Configuration::clone(self.spread.known());
+        let mut taken = Vec::new();
+        for record in records {
+            let ChangeBody::Inline(change) = &record.body else {
+                break;
+            };
+            if record.generation <= reached.generation {
+                continue;
+            }
+            match advance(&reached, &record, change) {
+                Ok(next) => reached = next,
+                Err(report) => {
+                    tracing::warn!(?report, "a peer's change was not taken");
+                    break;
+                }
+            }
+            taken.push(record);
+        }
+        if !taken.is_empty() {
+            self.recent.extend(taken);
+            self.forget_old_changes();
+            return self.pulled(now, Some(Arc::new(reached)));
+        }
+        self.pulled(now, None);
+    }
+
+    fn pulled(&mut self, now: TimeMs, configuration: Option<Arc<Configuration>>) {
+        let actions = self.spread.pulled(now, configuration);
+        self.actions.extend(actions);
+    }
+
+    /// Takes in what the table service gave to a read that began at `began_at`.
+    pub(super) fn polled(&mut self, began_at: TimeMs, answer: Result<Option<Configuration>, ()>) {
+        if let Ok(Some(newest)) = &answer {
+            self.remember_step_to(newest);
+        }
+        let answer = answer.map(|newest| newest.map(Arc::new));
+        let actions = self.spread.polled(began_at, answer);
+        self.actions.extend(actions);
+    }
+
+    /// Remembers the change that leads from the known configuration to the next, for peers.
+    fn remember_step_to(&mut self, newest: &Configuration) {
+        let known = self.spread.known();
+        if newest.generation.0 != known.generation.0 + 1 {
+            return;
+        }
+        let change = Change::between(&known.declarations, &newest.declarations);
+        self.recent.push_back(ChangeRecord {
+            generation: newest.generation,
+            change_id: newest.change_id.clone(),
+            accepted_at_ms: newest.accepted_at_ms,
+            body: ChangeBody::Inline(change),
+            summary: Vec::new(),
+            result_hash: crate::change::hash_of(&newest.declarations),
+        });
+        self.forget_old_changes();
+    }
+
+    fn forget_old_changes(&mut self) {
+        while self.recent.len() > MAX_REMEMBERED {
+            self.recent.pop_front();
+        }
+    }
+
+    /// The changes after a generation when they are remembered without a gap, else the whole.
+    fn changes_after(&self, after: Generation) -> Answer {
+        let newest = self.spread.generation();
+        if newest <= after {
+            return Answer::UpToDate;
+        }
+        let records: Vec<&ChangeRecord> = self
+            .recent
+            .iter()
+            .filter(|record| record.generation > after && record.generation <= newest)
+            .collect();
+        let wanted = after.0 + 1..=newest.0;
+        let whole = records.iter().map(|record| record.generation.0).eq(wanted);
+        if whole && let Ok(records_json) = serde_json::to_vec(&records) {
+            return Answer::Changes { records_json };
+        }
+        let configuration: &Configuration = self.spread.known();
+        serde_json::to_vec(configuration).map_or(Answer::UpToDate, |configuration_json| {
+            Answer::Snapshot { configuration_json }
+        })
+    }
+
+    /// Does what is due by time.
+    pub(super) fn tick(&mut self, now: TimeMs) {
+        let transitions = self.membership.tick(now);
+        self.note(now, transitions);
+        let is_poller = self.membership.is_poller();
+        let actions = self.spread.tick(now, is_poller);
+        self.actions.extend(actions);
+        if let Some(ago) = self.spread.confirmed_ago(now) {
+            let seconds = f64::from(u32::try_from(ago.0).unwrap_or(u32::MAX)) / 1_000.0;
+            metrics::gauge!("cactusspur_configuration_confirmed_seconds").set(seconds);
+        }
+    }
+
+    /// What has to be done by the runner. A configuration that comes into force is told here.
+    pub(super) fn take_actions(&mut self) -> Vec<Action> {
+        let actions = std::mem::take(&mut self.actions);
+        for action in &actions {
+            if let Action::TakeInForce(configuration) = action {
+                self.force.send_replace(Arc::clone(configuration));
+            }
+        }
+        actions
+    }
+
+    pub(super) fn address_of(&self, entry: EntryId) -> Option<SocketAddr> {
+        let member = self.membership.member(entry)?;
+        Some(member.peers_address)
+    }
+
+    pub(super) fn view(&self, now: TimeMs) -> ControlView {
+        ControlView {
+            generation: self.spread.generation(),
+            confirmed_ms_ago: self.spread.confirmed_ago(now).map(|ago| ago.0),
+            is_poller: self.membership.is_poller(),
+            members: self
+                .membership
+                .members()
+                .map(|member| MemberView::of(member, now))
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/tests/spread.rs
@@ -0,0 +1,522 @@
+//! Membership and the spread of the configuration as state machines, with the time as argument,
+//! and a small model of many processes on them.
+
+use {
+    cactusspur::{
+        membership::{
+            GONE_INTERVALS, HEARTBEAT_MS, Heartbeat, Introduction, LoadSummary, MemberState,
+            Membership, POLLERS, SUSPECT_INTERVALS,
+        },
+        spread::{Action, STALE_MS, START_LIMIT_MS, Spread},
+        timeline::HybridTime,
+    },
+    cactusspur_core::{Configuration, DurationMs, EntryId, Generation, TimeMs, Vm, VmRole},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{net::SocketAddr, sync::Arc},
+    test_case::test_case,
+};
+
+const NOW: TimeMs = TimeMs(1_000_000);
+
+fn introduction(domain: usize, at: usize) -> Introduction {
+    Introduction {
+        name: format!("entry-{domain}-{at}"),
+        failure_domain: format!("domain-{domain}"),
+        peers_address: SocketAddr::from((
+            [10, 0, u8::try_from(domain).expect("small"), 0],
+            u16::try_from(at + 1).expect("small"),
+        )),
+        operators_address: SocketAddr::from(([10, 0, 0, 0], 1)),
+        incarnation: 1,
+        started_at_ms: NOW,
+    }
+}
+
+fn heartbeat(introduction: &Introduction) -> Heartbeat {
+    Heartbeat {
+        introduction: introduction.clone(),
+        generation: Generation(0),
+        confirmed_ms_ago: None,
+        load: LoadSummary::default(),
+        leaving: false,
+    }
+}
+
+fn stamp(now: TimeMs) -> HybridTime {
+    HybridTime {
+        wall_ms: now,
+        count: 0,
+    }
+}
+
+fn configuration(generation: u64) -> Arc<Configuration> {
+    Arc::new(Configuration {
+        generation: Generation(generation),
+        ..Configuration::default()
+    })
+}
+
+fn after(ms: u64) -> TimeMs {
+    NOW.after(DurationMs(ms))
+}
+
+fn state(membership: &Membership, of: &Introduction) -> Option<MemberState> {
+    membership.member(of.entry()).map(|member| member.state)
+}
+
+#[test]
+fn a_silent_member_is_suspected_then_gone_then_alive_again() {
+    let (me, other) = (introduction(0, 0), introduction(0, 1));
+    let mut membership = Membership::open(&me, &[]);
+    membership.heard(NOW, stamp(NOW), heartbeat(&other));
+    assert_eq!(state(&membership, &other), Some(MemberState::Alive));
+    membership.tick(after(HEARTBEAT_MS.0 * SUSPECT_INTERVALS));
+    assert_eq!(state(&membership, &other), Some(MemberState::Suspected));
+    let late = after(HEARTBEAT_MS.0 * GONE_INTERVALS);
+    membership.tick(late);
+    assert_eq!(state(&membership, &other), Some(MemberState::Gone));
+    membership.heard(late, stamp(late), heartbeat(&other));
+    assert_eq!(state(&membership, &other), Some(MemberState::Alive));
+}
+
+#[test]
+fn late_messages_and_messages_of_an_earlier_life_are_left_out() {
+    let (me, old) = (introduction(0, 0), introduction(0, 1));
+    let mut new = old.clone();
+    (new.incarnation, new.started_at_ms) = (2, after(10));
+    let mut membership = Membership::open(&me, &[]);
+    membership.heard(after(20), stamp(after(20)), heartbeat(&new));
+    let mut late = heartbeat(&old);
+    late.generation = Generation(9);
+    membership.heard(after(21), stamp(after(21)), late.clone());
+    late.introduction = new.clone();
+    membership.heard(after(22), stamp(after(19)), late);
+    let member = membership.member(new.entry()).expect("known");
+    assert_eq!(member.introduction, Some(new));
+    assert_eq!(member.generation, Generation(0));
+}
+
+#[test]
+fn one_of_two_members_sends_and_the_other_once_it_hears_nothing() {
+    let (one, other) = (introduction(0, 0), introduction(0, 1));
+    let mut senders = 0;
+    for (me, peer) in [(&one, &other), (&other, &one)] {
+        let mut membership = Membership::open(me, &[]);
+        membership.heard(NOW, stamp(NOW), heartbeat(peer));
+        senders += membership.due(after(HEARTBEAT_MS.0)).len();
+        assert_eq!(membership.due(after(2 * HEARTBEAT_MS.0)).len(), 1);
+    }
+    assert_eq!(senders, 1);
+}
+
+#[test]
+fn seeds_are_tried_until_their_member_is_known() {
+    let (me, other) = (introduction(0, 0), introduction(1, 1));
+    let seeds = [me.peers_address, other.peers_address];
+    let mut membership = Membership::open(&me, &seeds);
+    let due: Vec<SocketAddr> = membership
+        .due(NOW)
+        .iter()
+        .map(|target| target.address)
+        .collect();
+    assert_eq!(due, [other.peers_address]);
+    assert!(membership.due(NOW).is_empty(), "not due again at once");
+    membership.heard(NOW, stamp(NOW), heartbeat(&other));
+    let due = membership.due(after(HEARTBEAT_MS.0 * 2));
+    assert!(due.iter().all(|target| target.entry.is_some()), "{due:?}");
+}
+
+#[test]
+fn listed_entry_vms_become_members_and_others_do_not() {
+    let me = introduction(0, 0);
+    let vm = |name: &str, role, leaving| Vm {
+        name: name.to_owned(),
+        address: "10.0.0.9:1".to_owned(),
+        failure_domain: "domain-0".to_owned(),
+        role,
+        leaving,
+    };
+    let list = [
+        vm(&me.name, VmRole::Entry, false),
+        vm("entry", VmRole::Entry, false),
+        vm("leaving", VmRole::Entry, true),
+        vm("engine", VmRole::Engine, false),
+    ];
+    let mut membership = Membership::open(&me, &[]);
+    membership.listed(NOW, &list);
+    let names: Vec<&str> = membership
+        .members()
+        .map(|member| member.name.as_str())
+        .collect();
+    assert_eq!(names, ["entry"]);
+}
+
+/// Memberships in which each process knows all of `domains` times `size`.
+fn full(domains: usize, size: usize) -> Vec<(Introduction, Membership)> {
+    let all: Vec<Introduction> = (0..domains)
+        .flat_map(|domain| (0..size).map(move |at| introduction(domain, at)))
+        .collect();
+    let know = |me: &Introduction| {
+        let mut membership = Membership::open(me, &[]);
+        for other in all.iter().filter(|other| *other != me) {
+            membership.heard(NOW, stamp(NOW), heartbeat(other));
+        }
+        (me.clone(), membership)
+    };
+    all.iter().map(know).collect()
+}
+
+#[test]
+fn members_agree_on_the_pollers_without_talking() {
+    let memberships = full(3, 8);
+    for domain in 0..3 {
+        let name = format!("domain-{domain}");
+        let of_domain = memberships
+            .iter()
+            .filter(|(me, _)| me.failure_domain == name);
+        let pollers = of_domain.filter(|(_, membership)| membership.is_poller());
+        assert_eq!(pollers.count(), POLLERS);
+    }
+}
+
+#[test_case(1, 8)]
+#[test_case(4, 8)]
+#[test_case(32, 25)]
+fn heartbeats_a_second_stay_bounded(domains: usize, size: usize) {
+    const WARM_UP_SECONDS: u64 = 20;
+    const SECONDS: u64 = 20;
+    const MAX_PER_SECOND: u64 = 7;
+    let beats: Vec<Heartbeat> = (0..domains)
+        .flat_map(|domain| (0..size).map(move |at| heartbeat(&introduction(domain, at))))
+        .collect();
+    for at in 0..size {
+        let mut membership = Membership::open(&introduction(0, at), &[]);
+        let mut sent = 0;
+        for second in 0..WARM_UP_SECONDS + SECONDS {
+            let now = after(second * 1_000);
+            for beat in &beats {
+                membership.heard(now, stamp(now), beat.clone());
+            }
+            for tenth in 0..10 {
+                let due = membership.due(now.after(DurationMs(tenth * 100)));
+                if second >= WARM_UP_SECONDS {
+                    sent += due.len() as u64;
+                }
+            }
+        }
+        assert!(sent <= MAX_PER_SECOND * SECONDS, "node {at}: {sent}");
+    }
+}
+
+#[test]
+fn a_new_generation_reaches_a_whole_domain_by_announcements() {
+    let memberships = full(1, 25);
+    let addresses: Vec<SocketAddr> = memberships.iter().map(|row| row.0.peers_address).collect();
+    let mut told = vec![false; memberships.len()];
+    let mut next = vec![0];
+    while let Some(at) = next.pop() {
+        if std::mem::replace(&mut told[at], true) {
+            continue;
+        }
+        for target in memberships[at].1.announce_to() {
+            let place = addresses
+                .iter()
+                .position(|address| *address == target.address);
+            next.push(place.expect("a member"));
+        }
+    }
+    assert!(told.iter().all(|told| *told), "{told:?}");
+}
+
+const POLLED_NOTHING: Result<Option<Arc<Configuration>>, ()> = Ok(None);
+
+fn in_force(actions: &[Action]) -> Vec<u64> {
+    let taken = actions.iter().filter_map(|action| match action {
+        Action::TakeInForce(configuration) => Some(configuration.generation.0),
+        Action::Poll | Action::Pull(_) => None,
+    });
+    taken.collect()
+}
+
+#[test]
+fn the_table_services_answer_ends_the_start_at_once() {
+    let mut spread = Spread::open(NOW);
+    assert_eq!(spread.tick(NOW, false), [Action::Poll]);
+    let actions = spread.polled(NOW, Ok::<_, ()>(Some(configuration(7))));
+    assert_eq!(in_force(&actions), [7]);
+    assert_eq!(spread.generation(), Generation(7));
+}
+
+#[test]
+fn without_the_table_service_the_highest_peer_is_taken() {
+    let peer = EntryId(1);
+    let mut spread = Spread::open(NOW);
+    spread.tick(NOW, false);
+    assert!(
+        spread
+            .polled(NOW, Err::<Option<Arc<Configuration>>, _>(()))
+            .is_empty()
+    );
+    let pull = spread.heard(after(1), peer, Generation(3), None);
+    assert_eq!(pull, [Action::Pull(peer)]);
+    assert!(
+        spread
+            .heard(after(1), EntryId(2), Generation(5), None)
+            .is_empty()
+    );
+    let next = spread.pulled(after(2), Some(configuration(3)));
+    assert_eq!(
+        next,
+        [Action::Pull(EntryId(2))],
+        "the higher one is asked for too"
+    );
+    assert_eq!(
+        spread.generation(),
+        Generation(0),
+        "it still waits for the highest"
+    );
+    assert!(spread.pulled(after(3), Some(configuration(5))).is_empty());
+    let actions = spread.tick(after(START_LIMIT_MS.0), false);
+    assert_eq!(in_force(&actions), [5]);
+}
+
+#[test]
+fn a_start_without_any_answer_takes_the_first_that_comes_later() {
+    let mut spread = Spread::open(NOW);
+    spread.tick(after(START_LIMIT_MS.0), false);
+    spread.heard(after(9_000), EntryId(1), Generation(2), None);
+    let actions = spread.pulled(after(9_001), Some(configuration(2)));
+    assert_eq!(in_force(&actions), [2]);
+}
+
+#[test]
+fn a_lower_generation_is_never_taken() {
+    let mut spread = Spread::open(NOW);
+    spread.polled(NOW, Ok::<_, ()>(Some(configuration(7))));
+    for lower in [6, 7] {
+        assert!(spread.pulled(NOW, Some(configuration(lower))).is_empty());
+        assert!(
+            spread
+                .polled(NOW, Ok::<_, ()>(Some(configuration(lower))))
+                .is_empty()
+        );
+        assert!(
+            spread
+                .heard(NOW, EntryId(1), Generation(lower), None)
+                .is_empty()
+        );
+    }
+    assert_eq!(spread.generation(), Generation(7));
+}
+
+#[test]
+fn a_process_polls_for_itself_only_when_nothing_confirms_its_generation() {
+    let mut spread = Spread::open(NOW);
+    spread.polled(NOW, Ok::<_, ()>(Some(configuration(7))));
+    let mut now = NOW;
+    for _ in 0..20 {
+        now = now.after(DurationMs(1_000));
+        spread.heard(now, EntryId(1), Generation(7), Some(DurationMs(100)));
+        assert!(spread.tick(now, false).is_empty());
+    }
+    spread.heard(now, EntryId(1), Generation(6), Some(DurationMs(0)));
+    let stale = now.after(STALE_MS);
+    assert_eq!(
+        spread.tick(stale, false),
+        [Action::Poll],
+        "a lower generation confirms nothing"
+    );
+    assert!(spread.tick(stale, false).is_empty(), "one read at a time");
+    assert!(spread.polled(stale, POLLED_NOTHING).is_empty());
+}
+
+#[test]
+fn a_read_that_never_ends_is_followed_by_another() {
+    let mut spread = Spread::open(NOW);
+    assert_eq!(spread.tick(NOW, true), [Action::Poll]);
+    assert!(spread.tick(after(2_000), true).is_empty());
+    assert_eq!(spread.tick(after(5_000), true), [Action::Poll]);
+}
+
+/// Processes on their state machines, with links that come and go.
+struct Model {
+    nodes: Vec<(Introduction, Membership, Spread)>,
+    in_force: Vec<u64>,
+    accepted: u64,
+    /// Whether the failure domain reaches the table service.
+    platform: Vec<bool>,
+    /// Whether the failure domains reach each other.
+    joined: bool,
+    now: TimeMs,
+}
+
+const DOMAINS: usize = 3;
+const SIZE: usize = 3;
+
+impl Model {
+    fn open() -> Self {
+        let nodes = (0..DOMAINS)
+            .flat_map(|domain| (0..SIZE).map(move |at| introduction(domain, at)))
+            .map(|me| {
+                let seeds: Vec<SocketAddr> = (0..DOMAINS)
+                    .map(|domain| introduction(domain, 0).peers_address)
+                    .chain([introduction(0, 1).peers_address])
+                    .collect();
+                (me.clone(), Membership::open(&me, &seeds), Spread::open(NOW))
+            })
+            .collect();
+        Self {
+            nodes,
+            in_force: vec![0; DOMAINS * SIZE],
+            accepted: 1,
+            platform: vec![true; DOMAINS],
+            joined: true,
+            now: NOW,
+        }
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        self.joined || from / SIZE == to / SIZE
+    }
+
+    /// A restarted node knows nothing, and may take an older generation than its former life had
+    /// when neither the platform nor a newer peer can be reached.
+    fn restart(&mut self, at: usize) {
+        let (me, membership, spread) = &mut self.nodes[at];
+        me.incarnation += 1;
+        me.started_at_ms = self.now;
+        let seeds: Vec<SocketAddr> = (0..SIZE)
+            .map(|other| introduction(at / SIZE, other).peers_address)
+            .collect();
+        *membership = Membership::open(me, &seeds);
+        *spread = Spread::open(self.now);
+        self.in_force[at] = 0;
+    }
+
+    fn beat(&self, at: usize) -> Heartbeat {
+        let (me, _, spread) = &self.nodes[at];
+        Heartbeat {
+            generation: spread.generation(),
+            confirmed_ms_ago: spread.confirmed_ago(self.now).map(|ago| ago.0),
+            ..heartbeat(me)
+        }
+    }
+
+    fn hear(&mut self, at: usize, beat: Heartbeat) {
+        let (_, membership, spread) = &mut self.nodes[at];
+        let entry = beat.introduction.entry();
+        let (generation, confirmed) = (beat.generation, beat.confirmed_ms_ago.map(DurationMs));
+        membership.heard(self.now, stamp(self.now), beat);
+        let actions = spread.heard(self.now, entry, generation, confirmed);
+        self.act(at, actions);
+    }
+
+    fn act(&mut self, at: usize, actions: Vec<Action>) {
+        for action in actions {
+            let next = match action {
+                Action::TakeInForce(taken) => {
+                    let generation = taken.generation.0;
+                    assert!(generation > self.in_force[at], "node {at} went back");
+                    self.in_force[at] = generation;
+                    continue;
+                }
+                Action::Poll if self.platform[at / SIZE] => {
+                    let spread = &mut self.nodes[at].2;
+                    let newest = configuration(self.accepted);
+                    spread.polled(self.now, Ok::<_, ()>(Some(newest)))
+                }
+                Action::Poll => self.nodes[at]
+                    .2
+                    .polled(self.now, Err::<Option<Arc<Configuration>>, _>(())),
+                Action::Pull(entry) => {
+                    let peer = self.nodes.iter().position(|row| row.0.entry() == entry);
+                    let peer = peer.filter(|peer| self.reaches(at, *peer));
+                    let got = peer.map(|peer| configuration(self.nodes[peer].2.generation().0));
+                    self.nodes[at].2.pulled(self.now, got)
+                }
+            };
+            self.act(at, next);
+        }
+    }
+
+    fn step(&mut self, ms: u64) {
+        for _ in 0..ms / 100 {
+            self.now = self.now.after(DurationMs(100));
+            for at in 0..self.nodes.len() {
+                let (_, membership, spread) = &mut self.nodes[at];
+                membership.tick(self.now);
+                let actions = spread.tick(self.now, membership.is_poller());
+                self.act(at, actions);
+                for target in self.nodes[at].1.due(self.now) {
+                    let to = self
+                        .nodes
+                        .iter()
+                        .position(|row| row.0.peers_address == target.address);
+                    if let Some(to) = to.filter(|to| self.reaches(at, *to)) {
+                        let ask = self.beat(at);
+                        self.hear(to, ask);
+                        let answer = self.beat(to);
+                        self.hear(at, answer);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Within how long an accepted generation has to be in force on each process that it can reach.
+const LIMIT_MS: u64 = 7_000;
+
+#[test]
+fn a_change_is_everywhere_within_the_limit_when_one_domain_reaches_the_platform() {
+    let mut model = Model::open();
+    model.step(10_000);
+    model.platform = vec![true, false, false];
+    model.step(20_000);
+    model.accepted = 2;
+    model.step(LIMIT_MS);
+    assert_eq!(model.in_force, [2; DOMAINS * SIZE]);
+}
+
+#[test]
+fn a_domain_that_was_cut_off_catches_up_within_the_limit() {
+    let mut model = Model::open();
+    model.step(10_000);
+    model.platform[2] = false;
+    model.joined = false;
+    model.accepted = 2;
+    model.step(120_000);
+    assert_eq!(
+        model.in_force[2 * SIZE..],
+        [1; SIZE],
+        "it serves what it has"
+    );
+    model.platform[2] = true;
+    model.step(LIMIT_MS);
+    assert_eq!(model.in_force, [2; DOMAINS * SIZE]);
+}
+
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn random_cuts_and_restarts_never_lower_a_running_nodes_generation(seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut model = Model::open();
+    for _ in 0..400 {
+        match random.random_range(0..6) {
+            0 => model.accepted += 1,
+            1 => model.joined = !model.joined,
+            2 => {
+                let domain = random.random_range(0..DOMAINS);
+                model.platform[domain] = !model.platform[domain];
+            }
+            3 => model.restart(random.random_range(0..DOMAINS * SIZE)),
+            _ => {}
+        }
+        model.step(random.random_range(1..40) * 100);
+    }
+    model.joined = true;
+    model.platform = vec![true; DOMAINS];
+    model.step(LIMIT_MS);
+    assert_eq!(model.in_force, [model.accepted; DOMAINS * SIZE]);
+}
