--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -79,7 +79,8 @@
         /// The answer.
         answer: RecordAnswer,
     },
-    /// A worker was asked over a new connection whether it is alive.
+    /// A worker was asked over a new connection whether it is alive. Reported once a probe, within
+    /// 1000 ms, since it decides which of a worker's lives is the present one.
     Probed {
         /// The worker.
         worker: WorkerId,
@@ -92,6 +93,16 @@
     /// A worker has reported changes of its cache.
     #[from]
     Cache(CacheReport),
+    /// A worker's whole cache was read.
+    #[from]
+    CacheSnapshot(CacheSnapshot),
+    /// A worker has said itself that it is leaving.
+    WorkerLeaving {
+        /// The worker.
+        worker: WorkerId,
+        /// Its life.
+        incarnation: Incarnation,
+    },
     /// The platform's list of VMs was read.
     #[from]
     Vms(VmList),
@@ -176,6 +187,19 @@
     pub changes: Vec<CacheChange>,
 }
 
+/// A worker's whole cache, read since changes of it were missing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheSnapshot {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// The number of the first change that it doesn't show.
+    pub next_sequence: CacheSequence,
+    /// The cached pieces.
+    pub pieces: Vec<PieceHash>,
+}
+
 /// One change of a worker's cache.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CacheChange {
--- a/core/src/system/liveness.rs
+++ b/core/src/system/liveness.rs
@@ -1,37 +1,82 @@
 //! Keeps the table of workers: the list of VMs, load reports, cache events, probes.
 
-use crate::{
-    command::Command,
-    core::Core,
-    event::{CacheChange, CacheReport, LoadReport, VmList, VmRole},
-    id::{CacheSequence, Incarnation, WorkerId},
-    unit::DurationMs,
-    worker::{Liveness, Worker},
+use {
+    super::placement,
+    crate::{
+        command::Command,
+        core::Core,
+        event::{CacheReport, CacheSnapshot, LoadReport, Vm, VmList, VmRole},
+        id::{Incarnation, WorkerId},
+        table::Table,
+        unit::{DurationMs, TimeMs},
+        worker::{Liveness, Worker},
+    },
 };
 
 /// How long a dead worker is left alone before it is asked again.
 const PROBE_INTERVAL_MS: DurationMs = DurationMs(500);
+/// How long the answer to a probe may take before the worker is asked again.
+pub const PROBE_LIMIT_MS: DurationMs = DurationMs(1_500);
+/// How long a worker is remembered that is no longer listed.
+const UNLISTED_RETENTION_MS: DurationMs = DurationMs(60_000);
 
-/// Takes the list of VMs in. A worker that is no longer listed gets no new work.
+/// Takes the list of VMs in. A worker that is no longer listed gets no new work, and is forgotten
+/// after some time.
 pub fn listed(core: &mut Core, list: &VmList) {
-    for vm in list.vms.iter().filter(|vm| vm.role != VmRole::Entry) {
-        let worker = core
-            .workers
-            .get_or_insert_with(vm.worker(), || Worker::listed(vm));
+    let now = core.now;
+    let workers = list.vms.iter().filter(|vm| vm.role != VmRole::Entry);
+    let listed: Table<WorkerId, &Vm> = workers.map(|vm| (vm.worker(), vm)).collect();
+    for (id, vm) in listed.iter() {
+        let worker = core.workers.get_or_insert_with(*id, || Worker::listed(vm));
         worker.leaving = vm.leaving;
     }
-    let listed = |id: &WorkerId| list.vms.iter().any(|vm| vm.worker() == *id);
-    core.workers
-        .retain(|id, worker| listed(id) || worker.in_flight > 0);
     for (id, worker) in core.workers.iter_mut() {
-        worker.leaving |= !listed(id);
+        if listed.contains(id) {
+            worker.unlisted_since_ms = None;
+        } else {
+            worker.unlisted_since_ms.get_or_insert(now);
+        }
+    }
+    forget_unlisted(core);
+    placement::listed(core, list);
+}
+
+fn forget_unlisted(core: &mut Core) {
+    let now = core.now;
+    let gone: Vec<WorkerId> = core
+        .workers
+        .iter()
+        .filter(|(_, worker)| worker.in_flight == 0)
+        .filter(|(_, worker)| {
+            worker
+                .unlisted_since_ms
+                .is_some_and(|since| now.since(since) > UNLISTED_RETENTION_MS)
+        })
+        .map(|row| *row.0)
+        .collect();
+    for worker in gone {
+        core.workers.remove(&worker);
+        core.cache.forget(worker);
+    }
+}
+
+/// Takes in that a worker has said itself that it is leaving. It holds for that life, whatever the
+/// list of VMs says.
+pub fn leaving(core: &mut Core, id: WorkerId, incarnation: Incarnation) {
+    seen_alive(core, id, incarnation);
+    if let Some(worker) = core.workers.get_mut(&id)
+        && !worker.says_leaving()
+    {
+        worker.said_leaving = Some(incarnation);
     }
 }
 
 /// Takes a load report in.
 pub fn load(core: &mut Core, report: LoadReport) {
     let id = report.worker;
-    seen_alive(core, id, report.incarnation);
+    if !seen_alive(core, id, report.incarnation) {
+        return;
+    }
     let Some(worker) = core.workers.get_mut(&id) else {
         return;
     };
@@ -42,48 +87,43 @@
     {
         return;
     }
-    while worker
-        .sent
-        .front()
-        .is_some_and(|sent| sent.0 <= report.observed_at_ms)
-    {
-        worker.sent.pop_front();
-    }
-    worker.load = Some(report);
+    core.cache
+        .set_capacity(id, report.cache_pieces, report.prefill_rate);
+    worker.note_load(report, core.now);
+    let in_own_domain = worker.domain == core.settings.domain;
+    core.offers.set(id, in_own_domain, worker.offers());
 }
 
 /// Takes cache events in; asks for the whole cache when some are missing.
 pub fn cache(core: &mut Core, report: &CacheReport) {
-    let known = core
-        .workers
-        .get(&report.worker)
-        .and_then(|worker| worker.incarnation);
-    if known != Some(report.incarnation) {
+    if !is_life_of(core, report.worker, report.incarnation) {
         return;
     }
-    core.cache
-        .set_incarnation(report.worker, report.incarnation);
-    let next = CacheSequence(report.first_sequence.0 + report.changes.len() as u64);
-    let expected = core.cache.advance(report.worker, next).unwrap_or_default();
-    if report.first_sequence > expected {
+    if let Some(after) = core.cache.report(report, core.now) {
         core.emit(Command::Resynchronise {
             worker: report.worker,
-            after: expected,
+            after,
         });
     }
-    for change in &report.changes {
-        match *change {
-            CacheChange::Stored(piece) => core.cache.stored(report.worker, piece),
-            CacheChange::Evicted(piece) => core.cache.evicted(report.worker, piece),
-        }
+}
+
+/// Takes a worker's whole cache in.
+pub fn cache_snapshot(core: &mut Core, snapshot: &CacheSnapshot) {
+    if is_life_of(core, snapshot.worker, snapshot.incarnation) {
+        core.cache.replace(snapshot, core.now);
     }
 }
 
+fn is_life_of(core: &Core, worker: WorkerId, incarnation: Incarnation) -> bool {
+    let known = core.workers.get(&worker);
+    known.and_then(|worker| worker.incarnation) == Some(incarnation)
+}
+
 /// Takes the result of a probe in.
 pub fn probed(core: &mut Core, id: WorkerId, incarnation: Option<Incarnation>) {
     let probe_at_ms = core.now.after(PROBE_INTERVAL_MS);
     if let Some(incarnation) = incarnation {
-        seen_alive(core, id, incarnation);
+        answered_probe(core, id, incarnation);
     } else if let Some(worker) = core.workers.get_mut(&id) {
         worker.liveness = Liveness::Dead { probe_at_ms };
     }
@@ -103,8 +143,24 @@
     core.emit(Command::Probe { worker: id });
 }
 
-/// Notes a sign of life of a worker. Another life than the known one starts with an empty cache.
-pub fn seen_alive(core: &mut Core, id: WorkerId, incarnation: Incarnation) {
+/// Notes a message of a worker's life, which may be late. Returns whether it is the known one. When
+/// it isn't, a probe decides which life has ended, and until then the worker gets no new work.
+pub fn seen_alive(core: &mut Core, id: WorkerId, incarnation: Incarnation) -> bool {
+    let Some(worker) = core.workers.get_mut(&id) else {
+        return false;
+    };
+    let known = *worker.incarnation.get_or_insert(incarnation);
+    if known != incarnation {
+        suspect(core, id);
+        return false;
+    }
+    worker.liveness = Liveness::Alive;
+    core.cache.set_incarnation(id, incarnation);
+    true
+}
+
+/// Takes in the life that has answered a probe. Another than the known one starts empty.
+fn answered_probe(core: &mut Core, id: WorkerId, incarnation: Incarnation) {
     let Some(worker) = core.workers.get_mut(&id) else {
         return;
     };
@@ -113,25 +169,35 @@
         return;
     }
     worker.incarnation = Some(incarnation);
-    worker.sent.clear();
+    worker.restart();
+    let in_own_domain = worker.domain == core.settings.domain;
+    core.offers.set(id, in_own_domain, worker.offers());
     core.cache.set_incarnation(id, incarnation);
 }
 
-/// Asks dead workers again.
+/// Asks again the workers that are dead, and those whose probe was not answered.
 pub fn tick(core: &mut Core) {
     let now = core.now;
     let due: Vec<WorkerId> = core
         .workers
         .iter_mut()
-        .filter_map(|(id, worker)| match &mut worker.liveness {
-            Liveness::Dead { probe_at_ms } if *probe_at_ms <= now => {
-                *probe_at_ms = now.after(PROBE_INTERVAL_MS);
-                Some(*id)
-            }
-            _ => None,
-        })
+        .filter_map(|(id, worker)| probe_due(worker, now).then_some(*id))
         .collect();
     for worker in due {
         core.emit(Command::Probe { worker });
     }
 }
+
+fn probe_due(worker: &mut Worker, now: TimeMs) -> bool {
+    match &mut worker.liveness {
+        Liveness::Dead { probe_at_ms } if *probe_at_ms <= now => {
+            *probe_at_ms = now.after(PROBE_INTERVAL_MS);
+            true
+        }
+        Liveness::Suspected { since_ms } if now.since(*since_ms) > PROBE_LIMIT_MS => {
+            *since_ms = now;
+            true
+        }
+        _ => false,
+    }
+}
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -1,10 +1,13 @@
 //! The operators' side of a process: health, readiness, metrics, status.
 
 use {
-    crate::driver::Driver,
+    crate::{driver::Driver, timeline::Filter},
     cactusspur_core::{Liveness, Worker},
     metrics_exporter_prometheus::PrometheusHandle,
-    ntex::web::{self, HttpResponse, types::State},
+    ntex::web::{
+        self, HttpResponse,
+        types::{Query, State},
+    },
     serde_json::{Value, json},
     std::sync::{
         Arc,
@@ -33,7 +36,8 @@
         .route("/health", web::get().to(health))
         .route("/ready", web::get().to(ready))
         .route("/metrics", web::get().to(metrics))
-        .route("/status", web::get().to(status));
+        .route("/status", web::get().to(status))
+        .route("/timeline", web::get().to(timeline));
 }
 
 async fn health() -> HttpResponse {
@@ -76,6 +80,10 @@
     HttpResponse::Ok().json(&status)
 }
 
+async fn timeline(state: State<OperatorsState>, filter: Query<Filter>) -> HttpResponse {
+    HttpResponse::Ok().json(&state.driver.timeline().select(&filter))
+}
+
 fn worker_status(worker: &Worker) -> Value {
     let liveness = match worker.liveness {
         Liveness::Alive => "alive",
--- a/src/timeline/record.rs
+++ b/src/timeline/record.rs
@@ -65,6 +65,9 @@
     /// The result of asking.
     #[display("probed")]
     Probed,
+    /// A worker said that it is leaving.
+    #[display("leaving")]
+    Leaving,
     /// A worker was asked for its whole cache.
     #[display("resynchronise")]
     Resynchronise,
@@ -308,7 +311,10 @@
             Event::Configured(configuration) => self.configured(now, configuration),
             Event::Vms(list) => self.learn_workers(list),
             Event::ShutdownStarted => self.note(now, Kind::ShutdownStarted, String::new()),
-            Event::Load(_) | Event::Cache(_) | Event::Tick => {}
+            Event::WorkerLeaving { worker, .. } => {
+                self.push(now, Kind::Leaving, Self::of_worker(*worker), String::new());
+            }
+            Event::Load(_) | Event::Cache(_) | Event::CacheSnapshot(_) | Event::Tick => {}
         }
     }
 
--- a/standins/src/load/process.rs
+++ b/standins/src/load/process.rs
@@ -34,6 +34,9 @@
     /// Go on.
     #[display("CONT")]
     Continue,
+    /// Shut down gracefully.
+    #[display("TERM")]
+    Terminate,
 }
 
 /// The path of a program beside this one.
@@ -45,11 +48,10 @@
         program: program.to_owned(),
     };
     let own = std::env::current_exe().change_context_lazy(failed)?;
-    let path = own.with_file_name(program);
-    if path.is_file() {
-        return Ok(path);
-    }
-    Err(Report::new(failed()).attach(format!("no {}: build the workspace first", path.display())))
+    let folders = own.ancestors().skip(1).take(2);
+    let mut paths = folders.map(|folder| folder.join(program));
+    let found = paths.find(|path| path.is_file());
+    found.ok_or_else(|| Report::new(failed()).attach("build the workspace first"))
 }
 
 impl Process {
@@ -120,6 +122,11 @@
         Err(Report::new(failed()))
     }
 
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Kills it and waits for its end.
     pub fn kill(&mut self) {
         self.child.kill().ok();
--- a/standins/src/load/run.rs
+++ b/standins/src/load/run.rs
@@ -6,7 +6,7 @@
         cluster::{Cluster, ClusterError, ClusterPlan},
         engine_shape::EngineShape,
         measure::{Observed, RunRecord},
-        number::float,
+        number::{float, micros_of},
         outcome::{End, Outcome},
         policy::Policy,
         report::{Report as LoadReport, hit_rate},
@@ -19,6 +19,7 @@
     cactusspur_core::MicroCredits,
     error_stack::Report,
     std::{
+        path::PathBuf,
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -37,16 +38,20 @@
     pub repeats: u32,
     /// The seed of the schedule.
     pub seed: u64,
-    /// How long requests are sent.
+    /// How long requests are sent that are counted.
     pub duration: Duration,
+    /// How long requests are sent before, to fill the engines' caches.
+    pub warm_up: Duration,
     /// Chats a second in place of the workload's own rate.
     pub rate_per_s: Option<f64>,
     /// Entry VMs.
     pub entry_vms: usize,
+    /// The daemon of [`Policy::Earlier`].
+    pub earlier: Option<PathBuf>,
 }
 
-/// The credits of each customer that lapse, in microcredits a second of the run.
-const LAPSING_MICROCREDITS_PER_S: u64 = 8_000;
+/// The credits of all customers that lapse, in microcredits a second of the run.
+const LAPSING_MICROCREDITS_PER_S: u64 = 25_000;
 /// How long after a cluster is up the first request is sent.
 const START_AFTER: Duration = Duration::from_millis(300);
 
@@ -90,6 +95,7 @@
             workload: self.workload,
             seed: self.seed,
             duration: self.duration,
+            warm_up: self.warm_up,
             rate_per_s,
             hot_prefix_moves: self.scenario.hot_prefix_moves(),
         })
@@ -117,6 +123,7 @@
             scenario: self.scenario,
             seed: self.seed,
             seconds: self.duration.as_secs(),
+            warm_up_seconds: self.warm_up.as_secs(),
             rate_per_s: prepared.rate_per_s,
             capacity_per_s: prepared.capacity_per_s,
             entry_vms: self.entry_vms,
@@ -129,10 +136,11 @@
 
     fn cluster_plan(&self, policy: Policy) -> ClusterPlan {
         let lapsing = (self.scenario == Scenario::CreditsNearLapse).then(|| {
-            let amount = LAPSING_MICROCREDITS_PER_S * self.duration.as_secs();
-            (MicroCredits(amount), self.duration.mul_f64(LAPSE_AT))
+            let amount = LAPSING_MICROCREDITS_PER_S * (self.warm_up + self.duration).as_secs();
+            let after = self.warm_up + self.duration.mul_f64(LAPSE_AT);
+            (MicroCredits(amount), after)
         });
-        let entry_vms = if policy == Policy::Cactusspur {
+        let entry_vms = if policy.uses_entries() {
             self.entry_vms
         } else {
             0
@@ -151,7 +159,12 @@
         repeat: u32,
     ) -> Result<RunRecord, Report<ClusterError>> {
         let plan = self.cluster_plan(policy);
-        let mut cluster = Cluster::spawn(&plan).await?;
+        let mut cluster = match &self.earlier {
+            Some(daemon) if policy == Policy::Earlier => {
+                Cluster::spawn_with(&plan, daemon.clone()).await?
+            }
+            _ => Cluster::spawn(&plan).await?,
+        };
         let addresses = Addresses {
             entries: cluster.entry_addresses(),
             engines: cluster.engine_addresses(),
@@ -168,14 +181,16 @@
         ));
         let started = Instant::now() + START_AFTER;
         let steps = self.scenario.steps(self.duration);
+        let counted_from = started + self.warm_up;
         let playing = play(&prepared.schedule, &sender, started);
         let (outcomes, acted) =
-            futures::join!(playing, follow_steps(&mut cluster, &steps, started));
+            futures::join!(playing, follow_steps(&mut cluster, &steps, counted_from));
         acted?;
         let observed = Observed {
             schedule: &prepared.schedule,
             unbounded: &prepared.unbounded,
             outcomes: &outcomes,
+            counted_from_us: micros_of(self.warm_up),
             fault_at: self.scenario.fault_at(self.duration),
         };
         let mut record = observed.record(policy, repeat);
@@ -186,12 +201,11 @@
 
     async fn lapsed(&self, cluster: &Cluster, plan: &ClusterPlan, policy: Policy) -> Option<u64> {
         let (amount, _) = plan.lapsing?;
-        if policy != Policy::Cactusspur {
+        if !policy.uses_entries() {
             return None;
         }
-        let granted = amount.0 * self.workload.customers().len() as u64;
         let drawn = cluster.lapsing_drawn().await?;
-        Some(granted.saturating_sub(drawn))
+        Some(amount.0.saturating_sub(drawn))
     }
 }
 
@@ -208,9 +222,9 @@
 }
 
 /// Sends each request at its time, whatever has become of the earlier ones.
-async fn play(schedule: &Schedule, sender: &Rc<Sender>, started: Instant) -> Vec<Outcome> {
+pub async fn play(schedule: &Schedule, sender: &Rc<Sender>, started: Instant) -> Vec<Outcome> {
     let follower = sender.clone();
-    let following = ntex::rt::spawn(async move { follower.follow_loads().await });
+    let following = ntex::rt::spawn(async move { follower.follow().await });
     let mut running = Vec::with_capacity(schedule.requests.len());
     for request in &schedule.requests {
         let intended = Intended(started + Duration::from_micros(request.at_us));
@@ -238,5 +252,6 @@
 #[must_use]
 pub fn longest_s(experiment: &Experiment) -> f64 {
     let runs = experiment.policies.len() as u64 * u64::from(experiment.repeats);
-    float(runs) * (experiment.duration + REQUEST_TIMEOUT + START_AFTER).as_secs_f64()
+    float(runs)
+        * (experiment.warm_up + experiment.duration + REQUEST_TIMEOUT + START_AFTER).as_secs_f64()
 }
--- a/standins/src/load/workload.rs
+++ b/standins/src/load/workload.rs
@@ -55,25 +55,25 @@
 }
 
 const TRUST_CUSTOMERS: [CustomerShape; 8] = [
-    customer("goldsmiths-row", 30),
-    customer("couples-at-home", 24),
-    customer("volunteer-advisors", 16),
-    customer("bench-north", 6),
-    customer("bench-south", 6),
-    customer("bench-east", 6),
-    customer("bench-west", 6),
-    customer("archive", 6),
+    customer("alder-advisors", 30),
+    customer("bayside-advisors", 24),
+    customer("cedar-couples", 16),
+    customer("dune-jewellers", 6),
+    customer("elm-jewellers", 6),
+    customer("fern-volunteers", 6),
+    customer("grove-volunteers", 6),
+    customer("house-desk", 6),
 ];
 
 const KITAHAMA_CUSTOMERS: [CustomerShape; 8] = [
-    customer("sapporo-markets", 32),
-    customer("kushiro-fishery", 22),
-    customer("asahikawa-stores", 16),
-    customer("otaru-warehouses", 6),
-    customer("obihiro-dairy", 6),
-    customer("kitami-stores", 6),
-    customer("hakodate-markets", 6),
-    customer("abashiri-fishery", 6),
+    customer("sapporo-supermarkets", 32),
+    customer("asahikawa-supermarkets", 22),
+    customer("kushiro-fishery", 16),
+    customer("sapporo-convenience", 6),
+    customer("asahikawa-convenience", 6),
+    customer("kushiro-warehouses", 6),
+    customer("otaru-fishery", 6),
+    customer("night-desk", 6),
 ];
 
 const fn model_class(
@@ -118,6 +118,8 @@
     service_class("dispatch", "dispatch", false),
 ];
 
+/// The whole that customers' shares are parts of.
+const SHARE_WHOLE: u64 = 100;
 const GRANT_MICROCREDITS: u64 = 1_000_000_000_000;
 const MAX_COST_MICROCREDITS: u64 = 10_000_000;
 const WEIGHTS_VERSION: WeightsVersion = WeightsVersion(1);
@@ -151,8 +153,8 @@
     #[must_use]
     pub fn model(self) -> Model {
         let name = match self {
-            Self::Trust => "bands",
-            Self::Kitahama => "triage",
+            Self::Trust => "heirloom",
+            Self::Kitahama => "kitahama",
         };
         Model {
             name: name.to_owned(),
@@ -193,7 +195,7 @@
     pub const fn steady_rate(self) -> u32 {
         match self {
             Self::Trust => 100,
-            Self::Kitahama => 40,
+            Self::Kitahama => 48,
         }
     }
 
@@ -203,7 +205,8 @@
         CustomerId::of(self.customers()[position].name)
     }
 
-    /// The declarations that an operator would write for it.
+    /// The declarations that an operator would write for it. Each customer has a part of each
+    /// grant, as large as its share of the traffic.
     #[must_use]
     pub fn declarations(self, grants: &[CreditGrant]) -> Declarations {
         Declarations {
@@ -246,10 +249,17 @@
 /// The API key of a customer of the load tool.
 #[must_use]
 pub fn api_key(customer: &str) -> String {
-    format!("load-{customer}")
+    format!("KEY-{customer}")
 }
 
 fn declared_customer(customer: CustomerShape, grants: &[CreditGrant]) -> Customer {
+    let part = |grant: &CreditGrant| {
+        let amount = grant.amount_microcredits.0 / SHARE_WHOLE * u64::from(customer.share);
+        CreditGrant {
+            amount_microcredits: MicroCredits(amount),
+            ..grant.clone()
+        }
+    };
     Customer {
         name: customer.name.to_owned(),
         api_key_hashes: vec![
@@ -257,7 +267,7 @@
                 .to_hex()
                 .to_string(),
         ],
-        credits: grants.to_vec(),
+        credits: grants.iter().map(part).collect(),
     }
 }
 
