--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A platform in memory, with the faults that the tests choose.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use {
     cactusspur::{
         configuration_log::Store,
@@ -28,13 +30,13 @@
     objects: Table<String, Vec<u8>>,
     faults: Vec<Fault>,
     objects_down: bool,
+    down: bool,
 }
 
 /// A platform in memory. Clones are handles of the same one.
 #[derive(Clone, Debug, Default)]
 pub struct FakeStore(Rc<RefCell<State>>);
 
-#[allow(dead_code)]
 impl FakeStore {
     /// Sets what happens to the next writes, the first first.
     pub fn fail_writes(&self, faults: &[Fault]) {
@@ -46,6 +48,11 @@
         self.0.borrow_mut().objects_down = down;
     }
 
+    /// Takes all of it down, or up.
+    pub fn set_down(&self, down: bool) {
+        self.0.borrow_mut().down = down;
+    }
+
     /// Puts a row as it is.
     pub fn put(&self, key: &str, value: Value) {
         let version = RowVersion(1);
@@ -57,16 +64,15 @@
     pub fn remove(&self, key: &str) {
         self.0.borrow_mut().rows.remove(&key.to_owned());
     }
-
-    /// The number of rows.
-    pub fn rows(&self) -> usize {
-        self.0.borrow().rows.len()
-    }
 }
 
 impl Store for FakeStore {
     async fn read_row(&self, key: &str) -> Result<Option<ValueRow>, Report<PlatformError>> {
-        Ok(self.0.borrow().rows.get(&key.to_owned()).cloned())
+        let state = self.0.borrow();
+        if state.down {
+            return Err(Report::new(PlatformError::NoAnswer));
+        }
+        Ok(state.rows.get(&key.to_owned()).cloned())
     }
 
     async fn write_row(
@@ -76,6 +82,9 @@
         value: &Value,
     ) -> Result<WriteOutcome, Report<PlatformError>> {
         let mut state = self.0.borrow_mut();
+        if state.down {
+            return Err(Report::new(PlatformError::NoAnswer));
+        }
         let fault = state.faults.pop();
         match fault {
             Some(Fault::Refuse) => return Err(Report::new(PlatformError::Refused)),
