Prefer the home even when it isn't known to hold the prompt

Cause (found by printing the home's and the chosen worker's prediction): an entry VM sees one in six of a prefix's requests, its belief about the home expires between them, and another worker that it knew to hold the first level looked better. The site was computed there once more.

Change: a member of the home is taken to hold a level with a likelihood that comes from the level's visits within the time that the worker keeps pieces, and from how often homes turned out to. Recomputation weighs twice, not four times, what waiting does. A level's spread changes only when it is too small or three times too large, and levels with few requests are measured over 20 s. On rings the best of eight positions is taken and places are distinct.

--- a/core/src/cache.rs
+++ b/core/src/cache.rs
@@ -228,6 +228,13 @@
         cache.retention_ms = turnover.clamp(MIN_RETENTION_MS, MAX_RETENTION_MS);
     }
 
+    /// How long the worker is believed to keep pieces that are not used.
+    #[must_use]
+    pub fn retention_ms(&self, worker: WorkerId) -> DurationMs {
+        let cache = self.workers.get(&worker);
+        cache.map(|cache| cache.retention_ms).unwrap_or_default()
+    }
+
     /// Notes that the worker caches the whole prompt, or soon will.
     pub fn sent(&mut self, worker: WorkerId, chain: &PrefixChain, now: TimeMs) {
         let Some(life) = self.workers.get(&worker).map(|cache| cache.life) else {
@@ -263,10 +270,10 @@
         let kept = cache.retention_ms.0;
         let next = if cached_pieces < believed_pieces {
             kept.min(age_ms.0) * 3 / 4
+        } else if cached_pieces > believed_pieces {
+            kept * 9 / 8
         } else if believed_pieces > 0 {
             kept.max(age_ms.0 * 5 / 4)
-        } else if cached_pieces > 0 {
-            kept * 9 / 8
         } else {
             return;
         };
--- a/core/src/demand.rs
+++ b/core/src/demand.rs
@@ -11,15 +11,48 @@
 pub const MAX_LEVELS: usize = 2_048;
 /// The time constant of the sums.
 const CONSTANT_MS: DurationMs = DurationMs(5_000);
+/// The time constant of the work of levels with few requests, which would jump otherwise.
+const LONG_MS: DurationMs = DurationMs(20_000);
+/// From this many requests within [`CONSTANT_MS`] on a level has many.
+const MANY: u64 = 10 * REQUEST;
 /// The share of one worker's time that one level should take at the most, in thousandths.
 const FULL_PERMILLE: u64 = 500;
+/// A spread is lowered when it is more than this many times what is needed.
+const MUCH_TOO_LARGE: usize = 3;
 /// A request in the sums of seen requests.
 const REQUEST: u64 = 1_000;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Level {
     work_ms: DecayingSum,
+    long_work_ms: DecayingSum,
     seen: DecayingSum,
+    spread: usize,
+}
+
+impl Level {
+    /// The workers that the work needs, when each of `entries` entry VMs sees as much of it.
+    fn needed(self, entries: usize, now: TimeMs) -> usize {
+        let (work, constant) = if self.seen.at(now, CONSTANT_MS) >= MANY {
+            (self.work_ms.at(now, CONSTANT_MS), CONSTANT_MS)
+        } else {
+            (self.long_work_ms.at(now, LONG_MS), LONG_MS)
+        };
+        let permille = work.saturating_mul(1_000) / constant.0;
+        let workers = permille.saturating_mul(entries as u64) / FULL_PERMILLE;
+        let workers = usize::try_from(workers).unwrap_or(usize::MAX >> 2);
+        workers.saturating_add(1)
+    }
+
+    /// The spread as it is, unless it is too small or much too large.
+    fn spread_for(self, entries: usize, now: TimeMs) -> usize {
+        let needed = self.needed(entries, now);
+        if needed > self.spread || needed.saturating_mul(MUCH_TOO_LARGE) < self.spread {
+            needed.next_power_of_two()
+        } else {
+            self.spread
+        }
+    }
 }
 
 /// The levels of prompts that came lately.
@@ -29,14 +62,17 @@
 }
 
 impl LevelDemand {
-    /// Notes a request with this level, whose work takes a worker `work_ms`.
-    pub fn note(&mut self, level: PieceHash, work_ms: DurationMs, now: TimeMs) {
+    /// Notes a request with this level, whose work takes a worker `work_ms`. Each of `entries`
+    /// entry VMs is taken to see as many.
+    pub fn note(&mut self, level: PieceHash, work_ms: DurationMs, entries: usize, now: TimeMs) {
         if self.levels.len() >= MAX_LEVELS && !self.levels.contains(&level) {
             self.drop_rarest(now);
         }
         let row = self.levels.get_or_insert_with(level, Level::default);
         row.work_ms.add(work_ms.0, now, CONSTANT_MS);
+        row.long_work_ms.add(work_ms.0, now, LONG_MS);
         row.seen.add(REQUEST, now, CONSTANT_MS);
+        row.spread = row.spread_for(entries, now);
     }
 
     /// Drops about half of the levels, those seen least.
@@ -56,18 +92,22 @@
         });
     }
 
-    /// The workers that a level's work should be spread over, when each of `entries` entry VMs
-    /// sees as much of it: a power of two, so that entry VMs mostly agree.
+    /// The workers that a level's work should be spread over: a power of two that doesn't follow
+    /// small changes, so that entry VMs mostly agree.
     #[must_use]
     pub fn spread(&self, level: PieceHash, entries: usize, now: TimeMs) -> usize {
+        let level = self.levels.get(&level).copied().unwrap_or_default();
+        level.spread_for(entries, now)
+    }
+
+    /// Requests with a level in a thousand seconds, when each of `entries` entry VMs sees as many.
+    #[must_use]
+    pub fn visits(&self, level: PieceHash, entries: usize, now: TimeMs) -> u64 {
         let Some(level) = self.levels.get(&level) else {
-            return 1;
+            return 0;
         };
-        let work = level.work_ms.at(now, CONSTANT_MS);
-        let permille = work.saturating_mul(1_000) / CONSTANT_MS.0;
-        let workers = permille.saturating_mul(entries as u64) / FULL_PERMILLE;
-        let workers = usize::try_from(workers).unwrap_or(usize::MAX >> 1);
-        workers.saturating_add(1).next_power_of_two()
+        let seen = level.seen.at(now, CONSTANT_MS);
+        seen.saturating_mul(1_000).saturating_mul(entries as u64) / CONSTANT_MS.0
     }
 
     /// Whether a level has come back often enough lately to be worth keeping.
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -99,6 +99,10 @@
     pub imported_pieces: usize,
     /// The first pieces that it was to export; zero without an export.
     pub exported_pieces: usize,
+    /// The pieces of the prompt's first level.
+    pub first_pieces: usize,
+    /// The pieces of the prompt's home level, when it was sent to its home; zero otherwise.
+    pub home_pieces: usize,
     /// The first token's predicted time from sending, before its correction.
     pub uncorrected_ms: DurationMs,
     /// The part of the predicted time that is its own work, not waiting.
--- a/core/src/ring.rs
+++ b/core/src/ring.rs
@@ -12,6 +12,8 @@
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
+/// Positions that are compared for one key.
+const PROBES: u64 = 8;
 const POINT_SEED: u64 = 0x005b_d1e9_955b_d1e9;
 
 /// Something that workers offer.
@@ -49,6 +51,23 @@
         after.iter().chain(before).map(|point| point.1)
     }
 
+    /// A position for `key` that has a worker close behind it. Of several positions the best is
+    /// taken, so that a worker with a wide gap before it doesn't get more than others.
+    #[must_use]
+    pub fn position(&self, key: u64) -> u64 {
+        (0..PROBES)
+            .map(|probe| xxh3_64_with_seed(&probe.to_le_bytes(), key))
+            .min_by_key(|position| self.gap(*position))
+            .unwrap_or(key)
+    }
+
+    /// The distance from a position to the first worker at or after it.
+    fn gap(&self, position: u64) -> u64 {
+        let after = self.points.partition_point(|point| point.0 < position);
+        let next = self.points.get(after).or(self.points.first());
+        next.map_or(u64::MAX, |point| point.0.wrapping_sub(position))
+    }
+
     fn insert(&mut self, worker: WorkerId) {
         let point = point_of(worker);
         if let Err(at) = self.points.binary_search(&point) {
--- a/core/src/system/credits.rs
+++ b/core/src/system/credits.rs
@@ -6,7 +6,7 @@
     credit::{Allotment, Draw, Ledger, Wallet, cost},
     declaration::Class,
     id::{AttemptId, CustomerId, RequestId},
-    prefix::tokens_of_bytes,
+    prefix::{PIECE_TOKENS, tokens_of_bytes},
     record::{CallId, LedgerRecord, Record, RecordAnswer, RecordCall, RecordKey, Row},
     request::Request,
     system::placement::Placement,
@@ -22,29 +22,34 @@
 /// The time before a lapse in which work that may wait is not held off.
 const LAPSE_SOON_MS: DurationMs = DurationMs(3_600_000);
 
-/// The most that a request may cost.
-fn estimate(request: &Request, uncached: Tokens, price: MicroCredits) -> MicroCredits {
+/// The most that a request may cost when `present` pieces of its prompt are cached.
+fn estimate(request: &Request, present: usize, price: MicroCredits) -> MicroCredits {
+    let present = Tokens(present as u64 * PIECE_TOKENS);
+    let uncached = request.prompt_tokens.saturating_sub(present);
     cost(request.with_answer(uncached), price)
 }
 
-/// Whether the class and the customer's credits allow the cost. Customers without declared
-/// credits are not metered.
+/// Whether the class and the customer's credits allow the cost. The class's limit is compared with
+/// what is known to be cached; credits have to be there even if nothing is. Customers without
+/// declared credits are not metered.
 pub fn allows(core: &mut Core, id: RequestId, class: &Class, placed: &Placement) -> bool {
     let Some(request) = core.requests.get(&id) else {
         return false;
     };
-    let estimate = estimate(request, placed.uncached_tokens, placed.expected.price);
-    if estimate > class.max_cost_microcredits {
+    let expected = &placed.expected;
+    let present = expected.cached_pieces.max(expected.imported_pieces);
+    if estimate(request, present, expected.price) > class.max_cost_microcredits {
         return false;
     }
+    let most = estimate(request, 0, expected.price);
     let customer = request.customer();
     let (entries, now) = (core.entries as u64, core.now);
     let Some(wallet) = wallet(core, customer) else {
         return true;
     };
-    let enough = wallet.spendable(entries, now) >= estimate;
+    let enough = wallet.spendable(entries, now) >= most;
     if !enough {
-        draw(core, customer, estimate);
+        draw(core, customer, most);
     }
     enough
 }
@@ -74,17 +79,17 @@
     if !request.charges.is_empty() {
         return;
     }
-    let estimate = estimate(request, attempt.uncached_tokens, attempt.expected.price);
+    let most = estimate(request, 0, attempt.expected.price);
     let customer = request.customer();
     let (entries, now) = (core.entries as u64, core.now);
     let Some(wallet) = wallet(core, customer) else {
         return;
     };
-    let charges = wallet.spend(estimate, entries, now);
+    let charges = wallet.spend(most, entries, now);
     if let Some(request) = core.requests.get_mut(&id) {
         request.charges = charges;
     }
-    draw(core, customer, estimate);
+    draw(core, customer, most);
 }
 
 /// Settles a request that is answered. Returns its cost.
--- a/core/src/system/placement.rs
+++ b/core/src/system/placement.rs
@@ -30,7 +30,7 @@
 /// Workers compared at random.
 const RANDOM: usize = 4;
 /// Workers passed over at one place of the ring, because they can't take work.
-const STEPS: usize = 16;
+const STEPS: usize = COMPARE_ALL;
 /// Workers that share the prompts of one first level at the most.
 const MAX_GROUP: usize = 256;
 const MAX_HOMES: usize = 16;
@@ -44,11 +44,14 @@
 /// The part of the target by which a worker may be slower than the quickest, in thousandths.
 const SLACK_PERMILLE: u64 = 100;
 /// How much more a millisecond of recomputation weighs than one of waiting.
-const RECOMPUTE_WEIGHT: u64 = 4;
+const RECOMPUTE_WEIGHT: u64 = 2;
 /// The same for the recomputation that a request away from its home causes later.
-const AWAY_WEIGHT: u64 = 2;
+const AWAY_WEIGHT: u64 = 1;
 /// How much quicker an import must be than the computation, in thousandths.
 const IMPORT_GAIN_PERMILLE: u64 = 1_200;
+/// The visits within the time that a worker keeps pieces, in thousandths, with which it has them
+/// half of the time.
+const VISITS_FOR_HALF: u64 = 500;
 /// Exports are for at least this many pieces.
 const MIN_EXPORT_PIECES: usize = 4;
 
@@ -108,7 +111,12 @@
 struct Home {
     first_level: PieceHash,
     level: PieceHash,
+    first_pieces: usize,
     pieces: usize,
+    /// Requests with the first level in a thousand seconds, at all entry VMs together.
+    first_visits: u64,
+    /// The same of the home level.
+    visits: u64,
     /// The workers that share the prompts of its first level.
     group: usize,
     /// The workers that its home level is spread over.
@@ -314,12 +322,16 @@
         places.truncate(count);
     }
     places.sort_unstable();
-    places
-        .into_iter()
-        .map(|(_, place)| xxh3_64_with_seed(&place.to_le_bytes(), home.first_level.0))
-        .filter_map(|position| usable.first(position))
-        .enumerate()
-        .collect()
+    let mut found: Vec<(usize, &Worker)> = Vec::with_capacity(places.len());
+    for (_, place) in places {
+        let key = xxh3_64_with_seed(&place.to_le_bytes(), home.first_level.0);
+        let position = usable.ring.position(key);
+        let taken = |worker: &Worker| found.iter().any(|one| one.1.id == worker.id);
+        if let Some(worker) = usable.first_but(position, taken) {
+            found.push((found.len(), worker));
+        }
+    }
+    found
 }
 
 /// The workers of a ring that may get a request.
@@ -366,9 +378,15 @@
     }
 
     fn first(&self, position: u64) -> Option<&'a Worker> {
-        let steps = STEPS.max(COMPARE_ALL);
-        let mut near = self.ring.from(position).take(steps);
-        near.find_map(|id| self.worker(id))
+        self.first_but(position, |_| false)
+    }
+
+    fn first_but<F>(&self, position: u64, taken: F) -> Option<&'a Worker>
+    where
+        F: Fn(&Worker) -> bool,
+    {
+        let mut near = self.ring.from(position).take(STEPS);
+        near.find_map(|id| self.worker(id).filter(|worker| !taken(worker)))
     }
 }
 
@@ -384,6 +402,9 @@
     Home {
         first_level,
         level: home_level,
+        first_pieces: pieces_to(chain, 0),
+        first_visits: core.demand.visits(first_level, core.entries, core.now),
+        visits: core.demand.visits(home_level, core.entries, core.now),
         pieces: pieces_to(chain, HOME_LEVEL.min(last)),
         group: group.clamp(spread, MAX_GROUP),
         spread,
@@ -415,10 +436,12 @@
     let imported_pieces = imported(worker, cached_pieces, prompt.kept_pieces);
     let present = cached_pieces.max(imported_pieces);
     let import = tokens_of(imported_pieces.saturating_sub(cached_pieces));
-    let uncached_tokens = prompt
+    let unknown_tokens = prompt
         .request
         .prompt_tokens
         .saturating_sub(tokens_of(present));
+    let uncached_tokens =
+        unknown_tokens.saturating_sub(likely_tokens(core, &prompt.home, rank, worker.id, present));
     let recompute_ms = worker.prefill_rate().time_for(uncached_tokens);
     let import_ms = if import.0 > 0 {
         worker.import_rate().time_for(import)
@@ -430,7 +453,7 @@
     } else {
         DurationMs(CROSS_DOMAIN_MS)
     };
-    let paid_tokens = prompt.request.with_answer(uncached_tokens);
+    let paid_tokens = prompt.request.with_answer(unknown_tokens);
     let work_ms = recompute_ms + import_ms;
     let uncorrected_ms = worker.wait_ms(core.now) + work_ms + cross_ms;
     Prediction {
@@ -448,6 +471,38 @@
     }
 }
 
+/// The tokens that a worker is likely to have although it isn't known to, since other entry VMs
+/// send prompts with the same levels there.
+fn likely_tokens(
+    core: &Core,
+    home: &Home,
+    rank: usize,
+    worker: WorkerId,
+    present: usize,
+) -> Tokens {
+    if rank >= home.group {
+        return Tokens(0);
+    }
+    let retention_ms = core.cache.retention_ms(worker);
+    let permille = |visits: u64, workers: usize| {
+        let visits = visits.saturating_mul(retention_ms.0) / 1_000 / workers.max(1) as u64;
+        visits * 1_000 / (visits + VISITS_FOR_HALF)
+    };
+    let first_permille = if present < home.first_pieces {
+        permille(home.first_visits, home.group)
+    } else {
+        1_000
+    };
+    let first = tokens_of(home.first_pieces.saturating_sub(present));
+    let first = Tokens(first.0 * first_permille / 1_000);
+    if rank >= home.spread {
+        return first;
+    }
+    let rest = tokens_of(home.pieces.saturating_sub(present.max(home.first_pieces)));
+    let rest_permille = permille(home.visits, home.spread).max(core.home_hits_permille);
+    first + Tokens(rest.0 * first_permille * rest_permille / 1_000_000)
+}
+
 /// The pieces that the worker should have after an import, or zero when it is not worth one.
 fn imported(worker: &Worker, cached_pieces: usize, kept_pieces: usize) -> usize {
     let gained = worker.import_rate().0.saturating_mul(1_000);
@@ -484,6 +539,12 @@
             cache_age_ms: chosen.cache_age_ms,
             imported_pieces: chosen.imported_pieces,
             exported_pieces,
+            first_pieces: prompt.home.first_pieces,
+            home_pieces: if chosen.rank < prompt.home.spread {
+                prompt.home.pieces
+            } else {
+                0
+            },
             uncorrected_ms: chosen.uncorrected_ms,
             work_ms: chosen.work_ms,
             price: worker.map(Worker::price).unwrap_or_default(),
@@ -517,9 +578,10 @@
     let share_ms = core.workers.get(&worker).map(Worker::answer_share_ms);
     let work_ms = expected.work_ms + share_ms.unwrap_or_default();
     let home = home(core, &expected.chain, scope.model);
-    core.demand.note(home.level, work_ms, now);
+    core.demand.note(home.level, work_ms, core.entries, now);
     if home.first_level != home.level {
-        core.demand.note(home.first_level, work_ms, now);
+        core.demand
+            .note(home.first_level, work_ms, core.entries, now);
     }
     core.kept
         .exported(&expected.chain, expected.exported_pieces, now);
@@ -540,9 +602,25 @@
         core.cache
             .compare(worker, expected.cached_pieces, age_ms, cached);
     }
+    note_home(core, &expected, cached);
     core.cache.sent(worker, &expected.chain, now);
 }
 
+/// Learns how often the home has the home level although it isn't known to.
+fn note_home(core: &mut Core, expected: &Expectation, cached: usize) {
+    let known = expected
+        .cached_pieces
+        .max(expected.imported_pieces)
+        .max(expected.first_pieces);
+    let unknown = expected.home_pieces.saturating_sub(known);
+    if unknown == 0 || cached < expected.first_pieces {
+        return;
+    }
+    let found = cached.saturating_sub(known).min(unknown);
+    let permille = found as u64 * 1_000 / unknown as u64;
+    core.home_hits_permille = (core.home_hits_permille * 31 + permille) / 32;
+}
+
 /// Learns from the time that the first piece of an answer took.
 pub fn first_piece(core: &mut Core, id: RequestId) {
     let now = core.now;
