--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -18,13 +18,14 @@
             WeightsVersion, WorkerId,
         },
         kept::KeptPieces,
+        prefix::PrefixChain,
         record::{CallId, RecordCall},
         request::Request,
         ring::Offers,
         share::{RetryBudget, Shares},
         system::{configuration, credits, limits, liveness, once, placement, request, stream},
         table::Table,
-        unit::{DurationMs, TimeMs},
+        unit::{DurationMs, TimeMs, Tokens},
         verdict::{Cause, Refusal, Verdict},
         worker::Worker,
     },
@@ -47,6 +48,19 @@
     pub max_requests: usize,
 }
 
+/// The numbers of rows that requests and their calls to the table service take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TableSizes {
+    /// Requests in progress.
+    pub requests: usize,
+    /// Attempts in progress.
+    pub attempts: usize,
+    /// Uses of idempotency keys that are not settled.
+    pub once: usize,
+    /// Calls to the table service that wait for their answer.
+    pub calls: usize,
+}
+
 /// The state of the decisions.
 #[derive(Debug)]
 pub struct Core {
@@ -164,6 +178,10 @@
             Event::Load(report) => liveness::load(self, report),
             Event::Cache(report) => liveness::cache(self, &report),
             Event::CacheSnapshot(snapshot) => liveness::cache_snapshot(self, &snapshot),
+            Event::WorkerLeaving {
+                worker,
+                incarnation,
+            } => liveness::leaving(self, worker, incarnation),
             Event::Vms(list) => liveness::listed(self, &list),
             Event::Configured(accepted) => configuration::accept(self, accepted),
             Event::ShutdownStarted => self.shutting_down = true,
@@ -207,7 +225,24 @@
     /// Uses of idempotency keys that still have to be written to the table service.
     #[must_use]
     pub fn unsettled(&self) -> usize {
-        self.once.len()
+        once::unsettled(self)
+    }
+
+    /// The prefix of a prompt that is believed to be cached in the worker's life as known.
+    #[must_use]
+    pub fn believed_cached(&self, worker: WorkerId, chain: &PrefixChain) -> Tokens {
+        self.cache.cached(worker, chain, self.now)
+    }
+
+    /// The rows that are kept for requests in progress and unsettled keys.
+    #[must_use]
+    pub fn sizes(&self) -> TableSizes {
+        TableSizes {
+            requests: self.requests.len(),
+            attempts: self.attempts.len(),
+            once: self.once.len(),
+            calls: self.calls.len(),
+        }
     }
 
     /// The workers, in the order of their ids.
@@ -227,13 +262,15 @@
         AttemptId(u128::from(self.settings.incarnation) << 64 | u128::from(self.next_attempt))
     }
 
-    pub(crate) fn record(&mut self, owner: AttemptId, what: RecordCall) {
+    pub(crate) fn record(&mut self, owner: AttemptId, what: RecordCall) -> CallId {
         self.next_call += 1;
         let call = CallId(self.next_call);
         self.calls.insert(call, owner);
         self.emit(Command::Record { call, what });
+        call
     }
 
+    /// Gives a request its final answer. The verdict covers all attempts that it has had.
     pub(crate) fn refuse(
         &mut self,
         request: RequestId,
@@ -241,6 +278,8 @@
         cause: Cause,
         retry_after_ms: DurationMs,
     ) {
+        let earlier = self.requests.get(&request).map(|known| known.verdict);
+        let verdict = earlier.map_or(verdict, |earlier| earlier.max(verdict));
         self.forget(request);
         let refusal = Refusal {
             verdict,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -26,7 +26,7 @@
 
 pub use crate::{
     command::{Command, Send, Usage},
-    core::{Core, CoreSettings, TICK_MS},
+    core::{Core, CoreSettings, TICK_MS, TableSizes},
     declaration::{Class, Configuration, CreditGrant, Customer, Declarations, Model, ServedBy},
     event::{
         Arrival, CacheChange, CacheReport, CacheSnapshot, Event, Failure, LoadReport,
--- a/core/src/system/request.rs
+++ b/core/src/system/request.rs
@@ -1,23 +1,31 @@
 //! Takes requests in, sends their attempts, and ends them.
 
 use {
-    super::{credits, limits, liveness, once, placement},
+    super::{
+        credits, limits, liveness, once,
+        placement::{self, Placement},
+    },
     crate::{
         command::{Command, Send},
         core::Core,
         declaration::{Class, ServedBy},
         event::{Arrival, Failure, RETRY_AFTER_MS},
-        id::{AttemptId, OnceKey, RequestId},
+        id::{AttemptId, Incarnation, OnceKey, RequestId},
         prefix::tokens_of_bytes,
         request::{Attempt, Request},
         unit::{DurationMs, Tokens},
         verdict::{Cause, Refusal, Verdict},
+        worker::Worker,
     },
     bytes::Bytes,
 };
 
 /// Attempts that one request may take at the most.
 const MAX_ATTEMPTS: u32 = 3;
+/// How long a plain service may take to answer a call that may be repeated.
+const CALL_LIMIT_MS: DurationMs = DurationMs(6_000);
+/// How long a plain service may take to answer a call that may not be repeated.
+const ONCE_CALL_LIMIT_MS: DurationMs = DurationMs(15_000);
 
 /// Takes a request in: it is sent, recorded or refused at once.
 pub fn arrive(core: &mut Core, arrival: Arrival) {
@@ -49,6 +57,7 @@
         charges: Vec::new(),
         attempt: None,
         attempts_sent: 0,
+        verdict: Verdict::NotRun,
         failed_on: Vec::new(),
         delivered_bytes: 0,
         first_token_ms: None,
@@ -94,6 +103,9 @@
     if needs_key && arrival.once_key.is_none() {
         return Err(Cause::BadRequest);
     }
+    if needs_key && core.once.len() >= once::MAX_UNSETTLED {
+        return Err(Cause::TableUnavailable);
+    }
     Ok(class.clone())
 }
 
@@ -139,13 +151,19 @@
             return false;
         }
     };
+    dispatch(core, id, &class, attempt, placed);
+    true
+}
+
+/// Sends a request as the given attempt to where it was placed.
+fn dispatch(core: &mut Core, id: RequestId, class: &Class, attempt: AttemptId, placed: Placement) {
     let now = core.now;
     let priority = core
         .requests
         .get(&id)
-        .map_or(u32::MAX, |request| limits::priority(core, request, &class));
+        .map_or(u32::MAX, |request| limits::priority(core, request, class));
     let Some(request) = core.requests.get_mut(&id) else {
-        return false;
+        return;
     };
     request.attempts_sent += 1;
     request.attempt = Some(Attempt {
@@ -159,7 +177,7 @@
         uncached_tokens: placed.uncached_tokens,
         expected: placed.expected,
         streaming: false,
-        probing: false,
+        probed_at_ms: None,
     });
     let resume_offset_bytes = request.delivered_bytes;
     core.attempts.insert(attempt, id);
@@ -181,12 +199,84 @@
         import: placed.import,
         export: placed.export,
     });
-    true
+}
+
+/// Whether a silent call of a plain service may go on waiting, given the life of the worker that
+/// has answered a probe. A call that may not be repeated gains nothing from being given up early.
+pub fn may_wait(
+    core: &Core,
+    id: RequestId,
+    attempt: &Attempt,
+    incarnation: Option<Incarnation>,
+) -> bool {
+    let once = core
+        .requests
+        .get(&id)
+        .is_some_and(|request| request.once.is_some());
+    let waited = core.now.since(attempt.sent_at_ms);
+    if once {
+        let restarted = incarnation.is_some() && incarnation != attempt.incarnation;
+        return !restarted && waited < ONCE_CALL_LIMIT_MS;
+    }
+    incarnation.is_some() && incarnation == attempt.incarnation && waited < CALL_LIMIT_MS
+}
+
+/// Lets a stream whose connection has gone silent go on over a new connection to the same life of
+/// its worker.
+pub fn resume_on_same(core: &mut Core, id: RequestId, silent: &Attempt) {
+    let worker = core.workers.get(&silent.worker);
+    let Some(request) = core.requests.get(&id) else {
+        return;
+    };
+    let tries_left = request.attempts_sent < MAX_ATTEMPTS;
+    let class = core.classes.get(&request.class()).cloned();
+    let weights_in_force = silent
+        .scope
+        .is_some_and(|scope| core.models.get(&scope.model) == Some(&scope.weights));
+    let may_resume = tries_left && weights_in_force && worker.is_some_and(Worker::takes_work);
+    let Some(class) = class.filter(|_| may_resume) else {
+        failed(core, silent.id, Verdict::MayHaveRun, Failure::Broken);
+        return;
+    };
+    if let Some(request) = core.requests.get_mut(&id) {
+        request.verdict = Verdict::MayHaveRun;
+    }
+    core.emit(Command::Cancel {
+        attempt: silent.id,
+        worker: silent.worker,
+    });
+    core.end_attempt(id);
+    let attempt = core.new_attempt();
+    let placed = Placement {
+        worker: silent.worker,
+        incarnation: silent.incarnation,
+        scope: silent.scope,
+        predicted_ms: silent.predicted_ms,
+        uncached_tokens: silent.uncached_tokens,
+        import: Vec::new(),
+        export: Vec::new(),
+        expected: silent.expected.clone(),
+    };
+    dispatch(core, id, &class, attempt, placed);
+}
+
+/// Whether a request has tries left and a worker to go to, and the budget of retries allows one.
+pub fn may_send_again(core: &mut Core, id: RequestId) -> bool {
+    let Some(request) = core.requests.get(&id) else {
+        return false;
+    };
+    let Some(class) = core.classes.get(&request.class()) else {
+        return false;
+    };
+    let possible =
+        request.attempts_sent < MAX_ATTEMPTS && placement::place(core, id, class).is_some();
+    possible && limits::may_retry(core, id)
 }
 
 /// Takes a plain service's answer in.
 pub fn answered(core: &mut Core, attempt: AttemptId, status: u16, body: Bytes) {
     let Some(id) = core.attempts.get(&attempt).copied() else {
+        once::done(core, attempt, status, body);
         return;
     };
     placement::answered(core, id);
@@ -210,10 +300,17 @@
     };
     let worker = request.attempt.as_ref().map(|attempt| attempt.worker);
     request.failed_on.extend(worker);
+    request.verdict = request.verdict.max(verdict);
     let once = request.once.is_some();
     let tries_left = request.attempts_sent < MAX_ATTEMPTS;
     placement::failed(core, id);
     core.end_attempt(id);
+    if let Some(worker) = worker
+        && verdict == Verdict::MayHaveRun
+        && !once
+    {
+        core.emit(Command::Cancel { attempt, worker });
+    }
     if let Some(worker) = worker
         && failure != Failure::Refused
     {
--- a/core/src/worker.rs
+++ b/core/src/worker.rs
@@ -54,8 +54,12 @@
     pub domain: DomainId,
     /// The service that it offers, if it is a plain service.
     pub service: Option<ServiceId>,
-    /// Whether it is leaving, by the list of VMs or by its own refusal.
+    /// Whether it is leaving, by the list of VMs.
     pub leaving: bool,
+    /// The life that has said itself that it is leaving.
+    pub said_leaving: Option<Incarnation>,
+    /// Since when the list of VMs lacks it.
+    pub unlisted_since_ms: Option<TimeMs>,
     /// How alive it is believed to be.
     pub liveness: Liveness,
     /// Its life, once it is known.
@@ -93,6 +97,8 @@
             domain: vm.domain(),
             service: vm.role.service(),
             leaving: vm.leaving,
+            said_leaving: None,
+            unlisted_since_ms: None,
             liveness: Liveness::Alive,
             incarnation: None,
             load: None,
@@ -112,7 +118,14 @@
     /// Whether new work may be sent to it.
     #[must_use]
     pub fn takes_work(&self) -> bool {
-        !self.leaving && self.liveness == Liveness::Alive
+        let leaves = self.leaving || self.says_leaving() || self.unlisted_since_ms.is_some();
+        !leaves && self.liveness == Liveness::Alive
+    }
+
+    /// Whether its present life has said itself that it is leaving.
+    #[must_use]
+    pub fn says_leaving(&self) -> bool {
+        self.said_leaving.is_some() && self.said_leaving == self.incarnation
     }
 
     /// The weights of `model` that it has loaded, if any.
@@ -280,6 +293,7 @@
 
     /// Forgets what was counted for an earlier life.
     pub fn restart(&mut self) {
+        self.load = None;
         self.sent.clear();
         self.backlog = Tokens(0);
         self.others_rate = TokensPerSecond(0);
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -1,7 +1,7 @@
 //! Carries events to the decision core and its commands to callers and links.
 
 use {
-    crate::timer::now,
+    crate::{timeline::Timeline, timer::now},
     bytes::Bytes,
     cactusspur_core::{
         Command, Configuration, Core, CoreSettings, CustomerId, Event, Refusal, RequestId, Table,
@@ -61,13 +61,17 @@
 #[derive(Debug)]
 pub struct Driver {
     state: Mutex<State>,
+    timeline: Arc<Timeline>,
     outbound: UnboundedSender<Command>,
 }
 
 impl Driver {
     /// Opens a core. The receiver gets the commands that need connections to other processes.
     #[must_use]
-    pub fn open(settings: CoreSettings) -> (Arc<Self>, UnboundedReceiver<Command>) {
+    pub fn open(
+        settings: CoreSettings,
+        timeline: Arc<Timeline>,
+    ) -> (Arc<Self>, UnboundedReceiver<Command>) {
         let (outbound, commands) = unbounded();
         let state = State {
             core: Core::open(settings),
@@ -79,6 +83,7 @@
         (
             Arc::new(Self {
                 state: Mutex::new(state),
+                timeline,
                 outbound,
             }),
             commands,
@@ -96,7 +101,10 @@
     }
 
     fn step(&self, state: &mut State, event: Event) {
-        for command in state.core.handle(now(), event) {
+        let now = now();
+        self.timeline.record_event(now, &event);
+        for command in state.core.handle(now, event) {
+            self.timeline.record_command(now, &command);
             self.pass_on(state, command);
         }
     }
@@ -224,6 +232,12 @@
         self.lock().keys.get(&hash).copied()
     }
 
+    /// The process's time line.
+    #[must_use]
+    pub fn timeline(&self) -> &Timeline {
+        &self.timeline
+    }
+
     /// Looks at the core.
     pub fn inspect<F, T>(&self, look: F) -> T
     where
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -56,7 +56,13 @@
                 driver.handle(Event::RecordAnswered { call, answer });
             });
         }
-        other => tracing::debug!(?other, "not carried out"),
+        Command::Resynchronise { worker, .. } => {
+            ntex::rt::spawn(async move { link.read_cache(worker).await });
+        }
+        Command::Deliver { .. }
+        | Command::Complete { .. }
+        | Command::Answer { .. }
+        | Command::Refuse { .. } => tracing::error!(?command, "a caller's command got here"),
     }
 }
 
--- a/standins/src/load/cluster.rs
+++ b/standins/src/load/cluster.rs
@@ -1,12 +1,15 @@
 //! A whole cluster as processes on loopback: stand-ins, and entry VMs where a policy needs them.
 
 use {
-    crate::load::{
-        call::open_client,
-        engine_shape::{ENGINES, EngineShape},
-        process::{Process, Signal, beside},
-        scenario::{Action, Target},
-        workload::{Workload, lasting_grant},
+    crate::{
+        load::{
+            call::open_client,
+            engine_shape::{ENGINES, EngineShape},
+            process::{Process, Signal, beside},
+            scenario::{Action, Target},
+            workload::{Workload, lasting_grant},
+        },
+        log::LogEntry,
     },
     cactusspur_core::{Configuration, CreditGrant, Generation, MicroCredits, TimeMs, Vm, VmRole},
     derive_more::{Add, AddAssign, Display, Error, Sum},
@@ -170,6 +173,81 @@
         addresses(&self.entries, |entry| &entry.callers)
     }
 
+    /// Where operators reach its entry VMs.
+    #[must_use]
+    pub fn operator_addresses(&self) -> Vec<String> {
+        addresses(&self.entries, |entry| &entry.operators)
+    }
+
+    /// Where its platform is.
+    #[must_use]
+    pub fn platform_address(&self) -> &str {
+        &self.platform.address
+    }
+
+    /// The process of an entry VM.
+    pub fn entry_process(&mut self, entry: usize) -> Option<&mut Process> {
+        self.entries.get_mut(entry).map(|entry| &mut entry.process)
+    }
+
+    /// Starts an entry VM's process again, on the same addresses, and kills the one before.
+    ///
+    /// # Errors
+    /// When it can't be started.
+    pub fn restart_entry(&mut self, entry: usize) -> Result<(), Report<ClusterError>> {
+        let Some(entry) = self.entries.get_mut(entry) else {
+            return Err(Report::new(failed("no such entry VM")));
+        };
+        entry.process.kill();
+        entry.process = daemon(&entry.settings)?;
+        Ok(())
+    }
+
+    /// What the engines have run, in no order.
+    pub async fn engine_log(&self) -> Vec<LogEntry> {
+        let mut entries = Vec::new();
+        for engine in &self.engines {
+            let log = self.get(&engine.address, "/standin/log").await;
+            let log = log.and_then(|log| serde_json::from_value(log["entries"].clone()).ok());
+            entries.extend(log.unwrap_or_else(Vec::new));
+        }
+        entries
+    }
+
+    /// The attempts that its plain services have run with an idempotency key.
+    pub async fn runs_of(&self, key: &str) -> usize {
+        let mut runs = 0;
+        for service in &self.services {
+            let log = self.get(&service.address, "/standin/log").await;
+            let entries = log.and_then(|log| log["entries"].as_array().cloned());
+            let with_key = |entry: &&Value| entry["key"] == key;
+            runs += entries.unwrap_or_default().iter().filter(with_key).count();
+        }
+        runs
+    }
+
+    /// Waits until each entry VM has a generation in force.
+    ///
+    /// # Errors
+    /// When one hasn't in time.
+    pub async fn in_force(&self, generation: Generation) -> Result<(), Report<ClusterError>> {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        for entry in &self.entries {
+            while self.generation_of(entry).await < Some(generation.0) {
+                if Instant::now() >= deadline {
+                    return Err(Report::new(failed("configuration not in force in time")));
+                }
+                tokio::time::sleep(READY_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn generation_of(&self, entry: &Entry) -> Option<u64> {
+        let status = self.get(&entry.operators, "/status").await?;
+        status["generation"].as_u64()
+    }
+
     /// Its engines' addresses.
     #[must_use]
     pub fn engine_addresses(&self) -> Vec<String> {
