Learn per class how much of the target predictions may take

Ruled out: counting own sends once for each entry VM (one prompt would look like a full queue where traffic is thin); a fixed lower limit (idle capacity where reports are fresh).

Change: a late first token takes 1.9 % of the target off what predictions may take, one on time that was predicted near it adds 0.1 %, between 30 and 90 %; one in twenty may be late. Work that alone takes half of the target says nothing.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod event;
 pub mod id;
 pub mod kept;
+pub mod margin;
 pub mod prefix;
 pub mod record;
 pub mod request;
--- a/core/src/system/limits.rs
+++ b/core/src/system/limits.rs
@@ -11,19 +11,19 @@
         declaration::Class,
         event::RETRY_AFTER_MS,
         id::{CustomerId, RequestId},
-        request::Request,
+        margin::Margin,
+        request::{Attempt, Request},
         unit::{DurationMs, TimeMs, Tokens},
         verdict::Cause,
     },
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
-/// The part of the target that a prediction may take at the most, in thousandths.
-const LIMIT_PERMILLE: u64 = 900;
-/// What customers far over their share have less of it.
-const MAX_EXCESS_PERMILLE: u64 = 300;
-/// The part for work that may wait for a quieter time.
-const DEFERRABLE_PERMILLE: u64 = 500;
+/// What customers far over their share have less of the allowed part of the target, in
+/// thousandths of it.
+const MAX_EXCESS_PERMILLE: u64 = 333;
+/// What work has of it that may wait for a quieter time, in thousandths.
+const DEFERRABLE_PERMILLE: u64 = 555;
 /// The part that a request may wait whose own work alone takes the target.
 const LONG_WORK_PERMILLE: u64 = 100;
 const MIN_RETRY_AFTER_MS: u64 = 200;
@@ -72,17 +72,18 @@
 ) -> Result<(), Declined> {
     let target = class.first_token_target_ms.0;
     let excess = excess_permille(core, request.customer());
-    let share = LIMIT_PERMILLE - excess;
+    let margin = margin(core, class).permille();
+    let share = 1_000 - excess;
     let waits = class.deferrable && !credits::lapse_soon(core, request.customer());
     let allowed = if waits {
         share.min(DEFERRABLE_PERMILLE)
     } else {
         share
     };
-    if placed.predicted_ms <= limit_ms(target, allowed, placed) {
+    if placed.predicted_ms <= limit_ms(target, margin * allowed / 1_000, placed) {
         return Ok(());
     }
-    let reachable = placed.predicted_ms <= limit_ms(target, LIMIT_PERMILLE, placed);
+    let reachable = placed.predicted_ms <= limit_ms(target, margin, placed);
     let cause = if reachable && excess > 0 {
         Cause::OverShare
     } else {
@@ -104,6 +105,32 @@
     DurationMs((target * permille / 1_000).max(long_work))
 }
 
+fn margin(core: &Core, class: &Class) -> Margin {
+    core.margins.get(&class.id()).copied().unwrap_or_default()
+}
+
+/// Learns from the first token of a request's first attempt. Work that alone takes much of its
+/// target says nothing of how full workers may be.
+pub fn first_token(core: &mut Core, id: RequestId, attempt: &Attempt) {
+    let Some(request) = core
+        .requests
+        .get(&id)
+        .filter(|request| request.attempts_sent == 1)
+    else {
+        return;
+    };
+    let Some(class) = core.classes.get(&request.class()) else {
+        return;
+    };
+    let target_ms = class.first_token_target_ms;
+    if attempt.expected.work_ms.0 > target_ms.0 / 2 {
+        return;
+    }
+    let observed_ms = core.now.since(request.arrived_at_ms);
+    let margin = core.margins.get_or_insert_with(class.id(), Margin::default);
+    margin.note(target_ms, attempt.predicted_ms, observed_ms);
+}
+
 /// What a customer has less of the target, since it had more than its share: nothing up to an
 /// equal share, all at four times as much.
 fn excess_permille(core: &Core, customer: CustomerId) -> u64 {
--- a/core/src/system/placement.rs
+++ b/core/src/system/placement.rs
@@ -621,22 +621,21 @@
     core.home_hits_permille = (core.home_hits_permille * 31 + permille) / 32;
 }
 
-/// Learns from the time that the first piece of an answer took.
-pub fn first_piece(core: &mut Core, id: RequestId) {
+/// Learns from the time that the first piece of an answer took. Returns the attempt the first time.
+pub fn first_piece(core: &mut Core, id: RequestId) -> Option<Attempt> {
     let now = core.now;
-    let attempt = core.requests.get_mut(&id);
-    let Some(attempt) = attempt.and_then(|request| request.attempt.as_mut()) else {
-        return;
-    };
+    let attempt = core.requests.get_mut(&id)?.attempt.as_mut()?;
     if attempt.expected.streaming_since_ms.is_some() {
-        return;
+        return None;
     }
     attempt.expected.streaming_since_ms = Some(now);
     let observed_ms = now.since(attempt.sent_at_ms);
     let predicted_ms = attempt.expected.uncorrected_ms;
+    let attempt = attempt.clone();
     if let Some(worker) = core.workers.get_mut(&attempt.worker) {
         worker.note_first_token(predicted_ms, observed_ms);
     }
+    Some(attempt)
 }
 
 /// Learns from an answer that came to its end.
--- a/core/src/system/stream.rs
+++ b/core/src/system/stream.rs
@@ -1,7 +1,7 @@
 //! Puts a model's answer together from the pieces of its attempts, in order and once.
 
 use {
-    super::{liveness, placement, request},
+    super::{limits, liveness, placement, request},
     crate::{
         command::{Command, Usage},
         core::Core,
@@ -63,7 +63,9 @@
     if let Some(attempt) = heard(request, now) {
         attempt.streaming = true;
     }
-    placement::first_piece(core, id);
+    if let Some(attempt) = placement::first_piece(core, id) {
+        limits::first_token(core, id, &attempt);
+    }
     let Some((request, _)) = live(core, attempt) else {
         return;
     };
