Run the control in the daemon: peers, membership, spread of the configuration

Cause: each entry VM read the configuration log for itself and none knew the others. Ruled out: keeping the daemon's own poll beside the spread (two paths into force). Change: the daemon spawns the control, takes configurations from it alone, tells it the list of VMs and its leaving, and shows its view in /status; the peers' address is printed and bound. Conclusion: the configuration spreads between entry VMs; a cut-off one shows its age.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         callers::{self, CallersState},
+        control::{Control, ControlSettings},
         driver::Driver,
         operators::{self, OperatorsState},
         outbound,
@@ -56,17 +57,20 @@
 
 /// The addresses that a daemon is bound to, with the ports that a setting of 0 got.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
-#[display("callers={callers} operators={operators}")]
+#[display("callers={callers} operators={operators} peers={peers}")]
 pub struct Addresses {
     /// Where callers connect to.
     pub callers: SocketAddr,
     /// Where operators connect to.
     pub operators: SocketAddr,
+    /// Where other entry VMs connect to.
+    pub peers: SocketAddr,
 }
 
 /// A running daemon.
 pub struct Daemon {
     driver: Arc<Driver>,
+    control: Control,
     draining: Arc<AtomicBool>,
     servers: Vec<Server>,
     addresses: Addresses,
@@ -84,30 +88,47 @@
     pub async fn bind(settings: Settings) -> Result<Self, Report<DaemonError>> {
         let incarnation: u64 = rand::random();
         let timeline = Timeline::open(&settings.name, incarnation);
-        let (driver, commands) = Driver::open(settings.core(incarnation), timeline);
+        let (driver, commands) = Driver::open(settings.core(incarnation), Arc::clone(&timeline));
         let draining = Arc::new(AtomicBool::new(false));
         let callers_state = CallersState {
             driver: Arc::clone(&driver),
             max_body_bytes: settings.max_body_bytes,
             incarnation,
         };
+        let callers_listener = listener(settings.callers_address)?;
+        let operators_listener = listener(settings.operators_address)?;
+        let platform = Platform::open(settings.platform_address).await;
+        let control_settings = ControlSettings {
+            name: settings.name.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            peers_address: settings.peers_address,
+            operators_address: local_address(&operators_listener)?,
+            seed_addresses: settings.seed_addresses.clone(),
+            shared_key: settings.shared_key.clone(),
+            incarnation,
+        };
+        let control = Control::spawn(&control_settings, platform.clone(), timeline)
+            .change_context(DaemonError)?;
         let operators_state = OperatorsState {
             driver: Arc::clone(&driver),
+            control: control.handle(),
             metrics: telemetry::open_metrics(),
             draining: Arc::clone(&draining),
             name: settings.name.clone(),
             failure_domain: settings.failure_domain.clone(),
         };
-        let platform = Platform::open(settings.platform_address).await;
         let timer = Timer::spawn();
         outbound::spawn(Arc::clone(&driver), platform.clone(), commands).await;
         poller::spawn_ticks(&timer, Arc::clone(&driver));
-        poller::spawn_vms(&timer, Arc::clone(&driver), platform.clone());
-        poller::spawn_configuration(&timer, Arc::clone(&driver), platform);
+        poller::spawn_vms(&timer, Arc::clone(&driver), control.handle(), platform);
+        poller::spawn_configuration(Arc::clone(&driver), control.configurations());
         poller::spawn_reports(&timer, Arc::clone(&driver)).await;
 
-        let callers_listener = listener(settings.callers_address)?;
-        let operators_listener = listener(settings.operators_address)?;
+        let addresses = Addresses {
+            callers: local_address(&callers_listener)?,
+            operators: local_address(&operators_listener)?,
+            peers: control.address(),
+        };
         let callers = HttpServer::new(async move || {
             App::new()
                 .state(callers_state.clone())
@@ -118,10 +139,6 @@
                 .state(operators_state.clone())
                 .configure(operators::configure)
         });
-        let addresses = Addresses {
-            callers: local_address(&callers_listener)?,
-            operators: local_address(&operators_listener)?,
-        };
         let servers = vec![
             callers
                 .workers(1)
@@ -143,6 +160,7 @@
         tracing::info!(name = settings.name, callers = %addresses.callers, "serving");
         Ok(Self {
             driver,
+            control,
             draining,
             servers,
             addresses,
@@ -162,6 +180,7 @@
     pub async fn shut_down(self) {
         tracing::info!("shutting down");
         self.draining.store(true, Ordering::Relaxed);
+        self.control.handle().leave();
         sleep(millis(self.shutdown_notice_ms)).await;
         self.driver.handle(Event::ShutdownStarted);
         let mut waited_ms = DurationMs(0);
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -1,7 +1,7 @@
 //! The operators' side of a process: health, readiness, metrics, status.
 
 use {
-    crate::{driver::Driver, timeline::Filter},
+    crate::{control::ControlHandle, driver::Driver, timeline::Filter},
     cactusspur_core::{Liveness, Worker},
     metrics_exporter_prometheus::PrometheusHandle,
     ntex::web::{
@@ -20,6 +20,8 @@
 pub struct OperatorsState {
     /// The driver.
     pub driver: Arc<Driver>,
+    /// What it does together with other entry VMs.
+    pub control: ControlHandle,
     /// The collected metrics.
     pub metrics: Option<PrometheusHandle>,
     /// Whether the process is shutting down.
@@ -63,7 +65,7 @@
 
 async fn status(state: State<OperatorsState>) -> HttpResponse {
     let draining = state.draining.load(Ordering::Relaxed);
-    let status = state.driver.inspect(|core| {
+    let mut status = state.driver.inspect(|core| {
         let workers: Vec<Value> = core.workers().map(worker_status).collect();
         json!({
             "name": state.name,
@@ -77,6 +79,10 @@
             "workers": workers,
         })
     });
+    let view = state.control.view();
+    status["confirmed_ms_ago"] = json!(view.confirmed_ms_ago);
+    status["is_poller"] = json!(view.is_poller);
+    status["members"] = json!(view.members);
     HttpResponse::Ok().json(&status)
 }
 
--- a/src/poller.rs
+++ b/src/poller.rs
@@ -2,16 +2,16 @@
 
 use {
     crate::{
-        configuration_log::{ConfigurationLog, LogError},
+        control::ControlHandle,
         driver::Driver,
         platform::Platform,
         timer::{Timer, now},
         worker_link::{CachePosition, WorkerLink},
     },
-    cactusspur_core::{DurationMs, Event, Generation, TICK_MS, Table, WorkerId},
-    error_stack::Report,
+    cactusspur_core::{Configuration, DurationMs, Event, TICK_MS, Table, WorkerId},
     futures::StreamExt,
     std::{cell::RefCell, rc::Rc, sync::Arc},
+    tokio::sync::watch,
 };
 
 /// How often the list of VMs is read.
@@ -22,8 +22,6 @@
 const REPORT_AGE_MS: DurationMs = DurationMs(200);
 /// Workers that are asked for their load at one time at the most.
 const MAX_REPORTS: usize = 16;
-/// How often the configuration is looked for.
-const CONFIGURATION_INTERVAL_MS: DurationMs = DurationMs(500);
 
 /// Ticks the core.
 pub fn spawn_ticks(timer: &Timer, driver: Arc<Driver>) {
@@ -36,12 +34,15 @@
 }
 
 /// Reads the list of VMs.
-pub fn spawn_vms(timer: &Timer, driver: Arc<Driver>, platform: Platform) {
+pub fn spawn_vms(timer: &Timer, driver: Arc<Driver>, control: ControlHandle, platform: Platform) {
     let mut ticks = timer.subscribe(VMS_INTERVAL_MS);
     ntex::rt::spawn(async move {
         loop {
             match platform.vms().await {
-                Ok(list) => driver.vms(list),
+                Ok(list) => {
+                    control.listed(&list);
+                    driver.vms(list);
+                }
                 Err(error) => tracing::debug!(?error, "the list of VMs can't be read"),
             }
             if ticks.next().await.is_none() {
@@ -51,39 +52,19 @@
     });
 }
 
-/// Looks for a newer configuration.
-pub fn spawn_configuration(timer: &Timer, driver: Arc<Driver>, platform: Platform) {
-    let mut ticks = timer.subscribe(CONFIGURATION_INTERVAL_MS);
+/// Takes each configuration into force that the control comes upon.
+pub fn spawn_configuration(
+    driver: Arc<Driver>,
+    mut configurations: watch::Receiver<Arc<Configuration>>,
+) {
     ntex::rt::spawn(async move {
-        let log = ConfigurationLog::open(platform);
-        loop {
-            if let Err(report) = catch_up(&log, &driver).await {
-                tracing::debug!(?report, "the configuration can't be read");
-            }
-            if ticks.next().await.is_none() {
-                return;
-            }
+        while configurations.changed().await.is_ok() {
+            let configuration = Arc::clone(&configurations.borrow_and_update());
+            driver.configure(Configuration::clone(&configuration));
         }
     });
 }
 
-/// Takes every configuration after the one in force into force.
-async fn catch_up(
-    log: &ConfigurationLog<Platform>,
-    driver: &Driver,
-) -> Result<(), Report<LogError>> {
-    let mut known = driver.inspect(|core| core.configuration().clone());
-    if known.generation == Generation(0) {
-        known = log.newest().await?;
-        driver.configure(known.clone());
-    }
-    while let Some(next) = log.next(&known).await? {
-        known = next;
-        driver.configure(known.clone());
-    }
-    Ok(())
-}
-
 /// Asks workers for their reports.
 pub async fn spawn_reports(timer: &Timer, driver: Arc<Driver>) {
     let link = WorkerLink::open(Arc::clone(&driver)).await;
