Let a restarted entry VM serve in an outage; be ready only when it can serve

A restarted entry VM said it was ready before it knew any worker, so a rolling restart lost requests ("no worker"); and one that started while the platform was down never learned of the workers, since only the platform gave the list of VMs. Change: entry VMs ask each other for the list of VMs when their own is older than 2 s; readiness at the start waits for a worker for every class, 5 s at the most, and then stays; workers not heard of are asked ten times a second instead of four.

--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -220,6 +220,25 @@
         self.classes.get(&id)
     }
 
+    /// The declared classes, and those of them for which there is a worker that takes work.
+    #[must_use]
+    pub fn served_classes(&self) -> (usize, usize) {
+        let served = self.classes.iter().filter(|row| self.has_worker(row.1));
+        (self.classes.len(), served.count())
+    }
+
+    fn has_worker(&self, class: &Class) -> bool {
+        let mut workers = self
+            .workers
+            .iter()
+            .map(|row| row.1)
+            .filter(|worker| worker.takes_work());
+        match (class.served_by.model(), class.served_by.service()) {
+            (Some(model), _) => workers.any(|worker| worker.weights(model).is_some()),
+            (_, service) => workers.any(|worker| worker.service == service),
+        }
+    }
+
     /// Requests in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,6 +7,7 @@
 
 mod runner;
 mod state;
+mod vm_list;
 
 pub use state::{ControlView, MemberView};
 
@@ -66,7 +67,7 @@
 
     /// Takes the platform's list of VMs in.
     pub fn listed(&self, list: &VmList) {
-        self.lock().membership.listed(now(), &list.vms);
+        self.lock().listed(Some(Arc::new(list.clone())), now());
     }
 
     /// Sets what other entry VMs are told of this one's load.
@@ -99,6 +100,7 @@
 pub struct Control {
     handle: ControlHandle,
     configurations: watch::Receiver<Arc<Configuration>>,
+    vms: watch::Receiver<Arc<VmList>>,
     server: PeerServer,
     _stop: watch::Sender<()>,
 }
@@ -127,10 +129,12 @@
             started_at_ms: now(),
         };
         let (force, configurations) = watch::channel(Arc::default());
+        let (vms_out, vms) = watch::channel(Arc::default());
         let state = State::open(
             introduction.clone(),
             &settings.seed_addresses,
             force,
+            vms_out,
             timeline,
         );
         let state = Arc::new(Mutex::new(state));
@@ -155,6 +159,7 @@
         Ok(Self {
             handle,
             configurations,
+            vms,
             server,
             _stop: stop,
         })
@@ -167,6 +172,13 @@
         self.configurations.clone()
     }
 
+    /// The newest list of VMs, each time that it changes, whether the platform or another entry
+    /// VM gave it.
+    #[must_use]
+    pub fn vms(&self) -> watch::Receiver<Arc<VmList>> {
+        self.vms.clone()
+    }
+
     /// A handle for other threads.
     #[must_use]
     pub fn handle(&self) -> ControlHandle {
--- a/src/control/runner.rs
+++ b/src/control/runner.rs
@@ -60,6 +60,21 @@
         for target in due {
             self.heartbeat(target.address);
         }
+        let source = self.handle.lock().vms_source(now());
+        if let Some(address) = source {
+            self.ask_vms(address);
+        }
+    }
+
+    fn ask_vms(self: &Rc<Self>, address: SocketAddr) {
+        let runner = Rc::clone(self);
+        ntex::rt::spawn(async move {
+            let ask = runner.handle.lock().new_vms_ask(now());
+            match runner.ask(address, &ask).await {
+                Ok(answer) => runner.step(|state| state.answered(now(), answer)),
+                Err(report) => tracing::debug!(%address, ?report, "no list of VMs"),
+            }
+        });
     }
 
     /// Changes the state and starts what it asks for.
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,6 +1,7 @@
 //! The state of the control, shared by its tasks.
 
 use {
+    super::vm_list::KnownVms,
     crate::{
         change::Change,
         configuration_log::{ChangeBody, ChangeRecord, advance},
@@ -11,7 +12,7 @@
         spread::{Action, Spread},
         timeline::{HybridTime, Kind, Timeline},
     },
-    cactusspur_core::{Configuration, EntryId, Generation, TimeMs},
+    cactusspur_core::{Configuration, EntryId, Generation, TimeMs, VmList},
     serde::Serialize,
     std::{collections::VecDeque, net::SocketAddr, sync::Arc},
     tokio::sync::watch,
@@ -75,6 +76,8 @@
     pub(super) spread: Spread,
     pub(super) load: LoadSummary,
     pub(super) leaving: bool,
+    pub(super) vms: KnownVms,
+    vms_out: watch::Sender<Arc<VmList>>,
     recent: VecDeque<ChangeRecord>,
     force: watch::Sender<Arc<Configuration>>,
     timeline: Arc<Timeline>,
@@ -87,6 +90,7 @@
         me: Introduction,
         seeds: &[SocketAddr],
         force: watch::Sender<Arc<Configuration>>,
+        vms_out: watch::Sender<Arc<VmList>>,
         timeline: Arc<Timeline>,
     ) -> Self {
         Self {
@@ -95,6 +99,8 @@
             me,
             load: LoadSummary::default(),
             leaving: false,
+            vms: KnownVms::default(),
+            vms_out,
             recent: VecDeque::new(),
             force,
             timeline,
@@ -153,6 +159,7 @@
                 Answer::Heartbeat(self.heartbeat(now))
             }
             Ask::PullChanges { after } => self.changes_after(after),
+            Ask::Vms => self.known_vms(now),
         };
         self.envelope(now, ask.number, answer)
     }
@@ -193,9 +200,43 @@
                 self.pulled(now, snapshot.ok().map(Arc::new));
             }
             Answer::UpToDate => self.pulled(now, None),
+            Answer::Vms { list, age_ms } => {
+                let as_of_ms = TimeMs(now.0.saturating_sub(age_ms.0));
+                self.listed(list.map(Arc::new), as_of_ms);
+            }
         }
     }
 
+    /// Takes a list of VMs in that was right at `as_of_ms`.
+    pub(super) fn listed(&mut self, list: Option<Arc<VmList>>, as_of_ms: TimeMs) {
+        let Some(list) = list else {
+            return;
+        };
+        if self.vms.take(Arc::clone(&list), as_of_ms) {
+            self.membership.listed(as_of_ms, &list.vms);
+            self.vms_out.send_replace(list);
+        }
+    }
+
+    fn known_vms(&self, now: TimeMs) -> Answer {
+        let newest = self.vms.newest(now);
+        let age_ms = newest.map(|newest| newest.1).unwrap_or_default();
+        let list = newest.map(|newest| newest.0.clone());
+        Answer::Vms { list, age_ms }
+    }
+
+    /// The address of the entry VM to ask for its list of VMs now, if any is to be asked.
+    pub(super) fn vms_source(&mut self, now: TimeMs) -> Option<SocketAddr> {
+        let ask = self.vms.ask_due(now)?;
+        let members: Vec<&Member> = self.membership.members().collect();
+        let member = members.get(ask % members.len().max(1))?;
+        Some(member.peers_address)
+    }
+
+    pub(super) fn new_vms_ask(&mut self, now: TimeMs) -> Envelope<Ask> {
+        self.new_ask(now, Ask::Vms)
+    }
+
     /// Takes in that an ask for changes wasn't answered.
     pub(super) fn pull_failed(&mut self, now: TimeMs) {
         self.pulled(now, None);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,7 +5,7 @@
         callers::{self, CallersState},
         control::{Control, ControlSettings},
         driver::Driver,
-        operators::{self, OperatorsState},
+        operators::{self, OperatorsState, Readiness},
         outbound,
         platform::Platform,
         poller,
@@ -113,6 +113,7 @@
             driver: Arc::clone(&driver),
             control: control.handle(),
             metrics: telemetry::open_metrics(),
+            readiness: Arc::new(Readiness::open()),
             draining: Arc::clone(&draining),
             name: settings.name.clone(),
             failure_domain: settings.failure_domain.clone(),
@@ -120,7 +121,8 @@
         let timer = Timer::spawn();
         outbound::spawn(Arc::clone(&driver), platform.clone(), commands).await;
         poller::spawn_ticks(&timer, Arc::clone(&driver));
-        poller::spawn_vms(&timer, Arc::clone(&driver), control.handle(), platform);
+        poller::spawn_vms(&timer, control.handle(), platform);
+        poller::spawn_listed(Arc::clone(&driver), control.vms());
         poller::spawn_configuration(Arc::clone(&driver), control.configurations());
         poller::spawn_reports(&timer, Arc::clone(&driver)).await;
 
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -2,16 +2,19 @@
 
 use {
     crate::{control::ControlHandle, driver::Driver, timeline::Filter},
-    cactusspur_core::{Liveness, Worker},
+    cactusspur_core::{Core, Liveness, Worker},
     metrics_exporter_prometheus::PrometheusHandle,
     ntex::web::{
         self, HttpResponse,
         types::{Query, State},
     },
     serde_json::{Value, json},
-    std::sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::{Duration, Instant},
     },
 };
 
@@ -24,6 +27,8 @@
     pub control: ControlHandle,
     /// The collected metrics.
     pub metrics: Option<PrometheusHandle>,
+    /// Whether it has started up.
+    pub readiness: Arc<Readiness>,
     /// Whether the process is shutting down.
     pub draining: Arc<AtomicBool>,
     /// The VM's name.
@@ -32,6 +37,45 @@
     pub failure_domain: String,
 }
 
+/// How long a starting process waits for a worker for every class; after that one for any is
+/// enough.
+const START_LIMIT: Duration = Duration::from_secs(5);
+
+/// Whether a process has started up. Once it has, it stays so: that a class has lost its workers
+/// is no reason to send the other classes' callers away.
+#[derive(Debug)]
+pub struct Readiness {
+    started_at: Instant,
+    reached: AtomicBool,
+}
+
+impl Readiness {
+    /// The readiness of a process that starts now.
+    #[must_use]
+    pub fn open() -> Self {
+        Self {
+            started_at: Instant::now(),
+            reached: AtomicBool::new(false),
+        }
+    }
+
+    /// Whether the process can serve, as far as a balancer should know.
+    pub fn is_ready(&self, driver: &Driver) -> bool {
+        if self.reached.load(Ordering::Relaxed) {
+            return true;
+        }
+        let (declared, served) = driver.inspect(Core::served_classes);
+        let enough = if self.started_at.elapsed() < START_LIMIT {
+            declared.max(1)
+        } else {
+            1
+        };
+        let ready = served >= enough;
+        self.reached.store(ready, Ordering::Relaxed);
+        ready
+    }
+}
+
 /// Adds the operators' routes.
 pub fn configure(config: &mut web::ServiceConfig) {
     config
@@ -47,8 +91,7 @@
 }
 
 async fn ready(state: State<OperatorsState>) -> HttpResponse {
-    let configured = state.driver.inspect(|core| core.generation().0 > 0);
-    if configured && !state.draining.load(Ordering::Relaxed) {
+    if state.readiness.is_ready(&state.driver) && !state.draining.load(Ordering::Relaxed) {
         return HttpResponse::Ok().body("ready\n");
     }
     HttpResponse::ServiceUnavailable().body("not ready\n")
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -10,7 +10,7 @@
     crate::{membership::Heartbeat, timeline::HybridTime},
     bincode::config::{Configuration, Limit, LittleEndian, Varint},
     bytes::{BufMut, Bytes, BytesMut},
-    cactusspur_core::{EntryId, Generation},
+    cactusspur_core::{DurationMs, EntryId, Generation, VmList},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{fmt, marker::PhantomData},
 };
@@ -83,6 +83,8 @@
         /// The generation that the sender has.
         after: Generation,
     },
+    /// Asks for the newest known list of VMs.
+    Vms,
 }
 
 /// What the other answers.
@@ -103,6 +105,13 @@
     },
     /// There is nothing after the generation.
     UpToDate,
+    /// The newest known list of VMs; none when nothing is known.
+    Vms {
+        /// The list.
+        list: Option<VmList>,
+        /// How old it is.
+        age_ms: DurationMs,
+    },
 }
 
 /// An ask as it is sent.
--- a/src/poller.rs
+++ b/src/poller.rs
@@ -8,7 +8,7 @@
         timer::{Timer, now},
         worker_link::{CachePosition, WorkerLink},
     },
-    cactusspur_core::{Configuration, DurationMs, Event, TICK_MS, Table, WorkerId},
+    cactusspur_core::{Configuration, DurationMs, Event, TICK_MS, Table, VmList, WorkerId},
     futures::StreamExt,
     std::{cell::RefCell, rc::Rc, sync::Arc},
     tokio::sync::watch,
@@ -17,7 +17,7 @@
 /// How often the list of VMs is read.
 const VMS_INTERVAL_MS: DurationMs = DurationMs(500);
 /// How often workers are asked for their load and the changes of their cache.
-const REPORT_INTERVAL_MS: DurationMs = DurationMs(250);
+const REPORT_INTERVAL_MS: DurationMs = DurationMs(100);
 /// How long a worker's load must not have been heard of before it is asked.
 const REPORT_AGE_MS: DurationMs = DurationMs(200);
 /// Workers that are asked for their load at one time at the most.
@@ -33,16 +33,23 @@
     });
 }
 
-/// Reads the list of VMs.
-pub fn spawn_vms(timer: &Timer, driver: Arc<Driver>, control: ControlHandle, platform: Platform) {
+/// Takes in each newer list of VMs that the control comes upon.
+pub fn spawn_listed(driver: Arc<Driver>, mut vms: watch::Receiver<Arc<VmList>>) {
+    ntex::rt::spawn(async move {
+        while vms.changed().await.is_ok() {
+            let list = Arc::clone(&vms.borrow_and_update());
+            driver.vms(VmList::clone(&list));
+        }
+    });
+}
+
+/// Reads the platform's list of VMs for the control.
+pub fn spawn_vms(timer: &Timer, control: ControlHandle, platform: Platform) {
     let mut ticks = timer.subscribe(VMS_INTERVAL_MS);
     ntex::rt::spawn(async move {
         loop {
             match platform.vms().await {
-                Ok(list) => {
-                    control.listed(&list);
-                    driver.vms(list);
-                }
+                Ok(list) => control.listed(&list),
                 Err(error) => tracing::debug!(?error, "the list of VMs can't be read"),
             }
             if ticks.next().await.is_none() {
--- a/standins/tests/system/caller.rs
+++ b/standins/tests/system/caller.rs
@@ -23,6 +23,8 @@
 pub const CHAT: &str = "ring-description";
 /// The class of its calls that may not be repeated.
 pub const HOLD: &str = "stone-hold";
+/// Tokens of a short answer.
+const SHORT_ANSWER_TOKENS: u64 = 4;
 /// How long a condition may take to come true.
 const PATIENCE: Duration = Duration::from_secs(30);
 /// The time between two looks at a condition.
@@ -187,3 +189,32 @@
         retry_after: header("retry-after").is_some(),
     })
 }
+
+/// Sends a chat and reads its answer; it must be whole and right.
+pub async fn whole_chat(cluster: &Cluster, entry: usize, question: &str) {
+    let mut response = chat(cluster, entry, question, SHORT_ANSWER_TOKENS)
+        .await
+        .expect("an answer");
+    let mut streamed = Streamed::default();
+    streamed.read_all(&mut response).await;
+    assert!(streamed.whole, "{streamed:?}");
+    assert_eq!(streamed.text, expected(question, SHORT_ANSWER_TOKENS));
+}
+
+/// Whether a chat through an entry VM is served.
+pub async fn serves(cluster: &Cluster, entry: usize) -> bool {
+    let question = "does it serve";
+    let Some(mut response) = chat(cluster, entry, question, SHORT_ANSWER_TOKENS).await else {
+        return false;
+    };
+    let mut streamed = Streamed::default();
+    streamed.read_all(&mut response).await;
+    streamed.whole && streamed.text == expected(question, SHORT_ANSWER_TOKENS)
+}
+
+/// Whether an entry VM tells a balancer that it takes requests.
+pub async fn is_ready(cluster: &Cluster, entry: usize) -> bool {
+    let url = format!("http://{}/ready", cluster.operator_addresses()[entry]);
+    let sent = cluster.client().get(url).send().await;
+    sent.is_ok_and(|response| response.status().is_success())
+}
--- a/standins/tests/system/main.rs
+++ b/standins/tests/system/main.rs
@@ -5,10 +5,12 @@
 use {
     cactusspur_standins::load::{
         cluster::Cluster,
-        process::Signal,
+        process::{Process, Signal},
         scenario::{Action, Target},
     },
-    caller::{INTERVAL, Streamed, chat, cluster, expected, hold, until},
+    caller::{
+        INTERVAL, Streamed, chat, cluster, expected, hold, is_ready, serves, until, whole_chat,
+    },
     ntex::rt::{DefaultRuntime, System},
     serde_json::{Value, json},
     std::{
@@ -150,20 +152,76 @@
             .await
             .expect("they start again");
         for entry in [0, 1] {
-            let cluster = &cluster;
-            until("a restarted entry VM serves", || async move {
-                let Some(mut response) = chat(cluster, entry, "q1", 4).await else {
-                    return false;
-                };
-                let mut streamed = Streamed::default();
-                streamed.read_all(&mut response).await;
-                streamed.whole && streamed.text == expected("q1", 4)
+            until("a restarted entry VM serves", || serves(&cluster, entry)).await;
+        }
+    });
+}
+
+#[test]
+fn an_entry_vm_that_restarts_in_an_outage_of_the_platform_serves() {
+    in_turn(async {
+        let mut cluster = cluster(2).await;
+        let outage =
+            json!({"down": true, "objects_down": true, "vms_down": true, "kept_down": true});
+        break_servers(&mut cluster, Target::Platform, outage).await;
+        cluster.restart_entry(0).expect("it starts again");
+        until("it serves", || serves(&cluster, 0)).await;
+    });
+}
+
+#[test]
+fn a_rolling_restart_loses_no_request() {
+    in_turn(async {
+        let mut cluster = cluster(2).await;
+        for (stopping, other) in [(0, 1), (1, 0)] {
+            until("both are ready", || async {
+                is_ready(&cluster, 0).await && is_ready(&cluster, 1).await
             })
             .await;
+            let process = cluster.entry_process(stopping).expect("there is one");
+            process
+                .signal(Signal::Terminate)
+                .expect("it can be signalled");
+            while !cluster
+                .entry_process(stopping)
+                .is_some_and(Process::has_ended)
+            {
+                let entry = if is_ready(&cluster, stopping).await {
+                    stopping
+                } else {
+                    other
+                };
+                whole_chat(&cluster, entry, "q").await;
+            }
+            cluster.restart_entry(stopping).expect("it starts again");
         }
     });
 }
 
+#[test]
+fn other_failure_domains_serve_while_one_is_cut_off() {
+    in_turn(async {
+        let mut cluster = cluster(3).await;
+        break_servers(&mut cluster, Target::FirstDomain, json!({"frozen": true})).await;
+        cluster
+            .act(&Action::PauseEntries)
+            .await
+            .expect("they are paused");
+        for entry in [1, 2] {
+            until("it serves", || serves(&cluster, entry)).await;
+        }
+        for question in ["q1", "q2", "q3", "q4"] {
+            whole_chat(&cluster, 1, question).await;
+        }
+        break_servers(&mut cluster, Target::FirstDomain, json!({"frozen": false})).await;
+        cluster
+            .act(&Action::ContinueEntries)
+            .await
+            .expect("they go on");
+        until("the domain serves again", || serves(&cluster, 0)).await;
+    });
+}
+
 #[test]
 fn a_planned_stop_cuts_no_stream() {
     in_turn(async {
