--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -18,6 +18,7 @@
             WeightsVersion, WorkerId,
         },
         kept::KeptPieces,
+        margin::Margin,
         prefix::PrefixChain,
         record::{CallId, RecordCall},
         request::Request,
@@ -80,6 +81,8 @@
     pub(crate) offers: Offers,
     pub(crate) demand: LevelDemand,
     pub(crate) entries: usize,
+    pub(crate) home_hits_permille: u64,
+    pub(crate) margins: Table<ClassId, Margin>,
     pub(crate) shares: Shares,
     pub(crate) shares_looked_at_ms: TimeMs,
     pub(crate) retries: RetryBudget,
@@ -111,6 +114,8 @@
             offers: Offers::default(),
             demand: LevelDemand::default(),
             entries: 1,
+            home_hits_permille: 0,
+            margins: Table::default(),
             shares: Shares::default(),
             shares_looked_at_ms: TimeMs::default(),
             retries: RetryBudget::default(),
@@ -173,6 +178,7 @@
                 worker,
                 incarnation,
             } => liveness::probed(self, worker, incarnation),
+            Event::LoadNow(figures) => liveness::load_now(self, figures),
             Event::Load(report) => liveness::load(self, report),
             Event::Cache(report) => liveness::cache(self, &report),
             Event::CacheSnapshot(snapshot) => liveness::cache_snapshot(self, &snapshot),
@@ -243,6 +249,19 @@
         }
     }
 
+    /// The workers whose load was not heard of for `age_ms`, the longest unheard first, `most` at
+    /// the most.
+    #[must_use]
+    pub fn reports_due(&self, now: TimeMs, age_ms: DurationMs, most: usize) -> Vec<WorkerId> {
+        let unheard = self
+            .workers
+            .iter()
+            .map(|(id, worker)| (worker.load_heard_at_ms, *id));
+        let mut due: Vec<_> = unheard.filter(|row| now.since(row.0) >= age_ms).collect();
+        due.sort_unstable();
+        due.into_iter().map(|row| row.1).take(most).collect()
+    }
+
     /// The workers, in the order of their ids.
     pub fn workers(&self) -> impl Iterator<Item = &Worker> {
         self.workers.iter().map(|row| row.1)
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod event;
 pub mod id;
 pub mod kept;
+pub mod margin;
 pub mod prefix;
 pub mod record;
 pub mod request;
@@ -29,7 +30,7 @@
     core::{Core, CoreSettings, TICK_MS, TableSizes},
     declaration::{Class, Configuration, CreditGrant, Customer, Declarations, Model, ServedBy},
     event::{
-        Arrival, CacheChange, CacheReport, CacheSnapshot, Event, Failure, LoadReport,
+        Arrival, CacheChange, CacheReport, CacheSnapshot, Event, Failure, LoadNow, LoadReport,
         RETRY_AFTER_MS, Vm, VmList, VmRole,
     },
     id::{
--- a/core/src/system/liveness.rs
+++ b/core/src/system/liveness.rs
@@ -5,8 +5,9 @@
     crate::{
         command::Command,
         core::Core,
-        event::{CacheReport, CacheSnapshot, LoadReport, VmList, VmRole},
+        event::{CacheReport, CacheSnapshot, LoadNow, LoadReport, Vm, VmList, VmRole},
         id::{Incarnation, WorkerId},
+        table::Table,
         unit::{DurationMs, TimeMs},
         worker::{Liveness, Worker},
     },
@@ -23,14 +24,14 @@
 /// after some time.
 pub fn listed(core: &mut Core, list: &VmList) {
     let now = core.now;
-    for vm in list.vms.iter().filter(|vm| vm.role != VmRole::Entry) {
-        let worker = core
-            .workers
-            .get_or_insert_with(vm.worker(), || Worker::listed(vm));
+    let workers = list.vms.iter().filter(|vm| vm.role != VmRole::Entry);
+    let listed: Table<WorkerId, &Vm> = workers.map(|vm| (vm.worker(), vm)).collect();
+    for (id, vm) in listed.iter() {
+        let worker = core.workers.get_or_insert_with(*id, || Worker::listed(vm));
         worker.leaving = vm.leaving;
     }
     for (id, worker) in core.workers.iter_mut() {
-        if list.vms.iter().any(|vm| vm.worker() == *id) {
+        if listed.contains(id) {
             worker.unlisted_since_ms = None;
         } else {
             worker.unlisted_since_ms.get_or_insert(now);
@@ -70,6 +71,25 @@
     }
 }
 
+/// Takes in how loaded a worker is by its own answer. Until it has reported once, that says too
+/// little.
+pub fn load_now(core: &mut Core, figures: LoadNow) {
+    let known = core
+        .workers
+        .get(&figures.worker)
+        .and_then(|worker| worker.load.clone());
+    let Some(known) = known.filter(|known| known.incarnation == figures.incarnation) else {
+        return;
+    };
+    let report = LoadReport {
+        observed_at_ms: figures.observed_at_ms,
+        queued_tokens: figures.queued_tokens,
+        running: figures.running,
+        ..known
+    };
+    load(core, report);
+}
+
 /// Takes a load report in.
 pub fn load(core: &mut Core, report: LoadReport) {
     let id = report.worker;
