Measure the work of levels with few requests over a minute

Cause: an entry VM sees few requests of a level, so that its estimate of the level's work, and with it the group, jumped: of 8000 requests to sixty workers 5554 were placed with a group of 4, 1729 with 2, 717 with 8, and 1415 found their site missing at its home.

--- a/core/src/demand.rs
+++ b/core/src/demand.rs
@@ -12,7 +12,7 @@
 /// The time constant of the sums.
 const CONSTANT_MS: DurationMs = DurationMs(5_000);
 /// The time constant of the work of levels with few requests, which would jump otherwise.
-const LONG_MS: DurationMs = DurationMs(20_000);
+const LONG_MS: DurationMs = DurationMs(60_000);
 /// From this many requests within [`CONSTANT_MS`] on a level has many.
 const MANY: u64 = 10 * REQUEST;
 /// The share of one worker's time that one level should take at the most, in thousandths.
