--- a/core/benches/decide.rs
+++ b/core/benches/decide.rs
@@ -25,8 +25,8 @@
 }
 
 impl Bench {
-    /// A core with warm prefixes of about `pieces` pieces.
-    fn open(workers: usize, pieces: u64, customers: u64) -> Self {
+    /// A core without workers.
+    fn cold(customers: u64) -> Self {
         let settings = CoreSettings {
             entry: EntryId::of("entry-0"),
             domain: DomainId::of("domain-0"),
@@ -37,11 +37,18 @@
             core: Core::open(settings),
             now: TimeMs(1_800_000_000_000),
             customers,
-            sites: (pieces / PIECES).max(WARM_SITES),
+            sites: 0,
             next: 0,
             warm: Vec::new(),
         };
         bench.configure();
+        bench
+    }
+
+    /// A core with warm prefixes of about `pieces` pieces.
+    fn open(workers: usize, pieces: u64, customers: u64) -> Self {
+        let mut bench = Self::cold(customers);
+        bench.sites = (pieces / PIECES).max(WARM_SITES);
         bench.list(workers);
         for site in 0..bench.sites {
             let levels = levels_of(site);
@@ -95,14 +102,7 @@
     }
 
     fn list(&mut self, workers: usize) {
-        let vm = |number: usize| Vm {
-            name: format!("engine-{number}"),
-            address: "127.0.0.1:1".to_owned(),
-            failure_domain: format!("domain-{}", number % DOMAINS),
-            role: VmRole::Engine,
-            leaving: false,
-        };
-        let vms: Vec<Vm> = (0..workers).map(vm).collect();
+        let vms = vms(workers);
         let ids: Vec<WorkerId> = vms.iter().map(Vm::worker).collect();
         self.handle(VmList { vms });
         for worker in ids {
@@ -156,6 +156,17 @@
     }
 }
 
+fn vms(workers: usize) -> Vec<Vm> {
+    let vm = |number: usize| Vm {
+        name: format!("engine-{number}"),
+        address: "127.0.0.1:1".to_owned(),
+        failure_domain: format!("domain-{}", number % DOMAINS),
+        role: VmRole::Engine,
+        leaving: false,
+    };
+    (0..workers).map(vm).collect()
+}
+
 /// Rules, a site, and a question.
 fn levels_of(site: u64) -> Vec<Bytes> {
     vec![level(site / 64), level(site), Bytes::from_static(b"why?")]
@@ -196,8 +207,29 @@
     group.finish();
 }
 
+/// The time that a process needs that knows nothing, and one that knows all, for a list of VMs.
+fn list(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("list");
+    group.sample_size(10);
+    for workers in [100, 1_000, 10_000] {
+        let vms = vms(workers);
+        group.bench_function(BenchmarkId::new("first", workers), |bencher| {
+            bencher.iter(|| {
+                let mut bench = Bench::cold(100);
+                bench.handle(VmList { vms: vms.clone() })
+            });
+        });
+        let mut bench = Bench::cold(100);
+        group.bench_function(BenchmarkId::new("next", workers), |bencher| {
+            bencher.iter(|| bench.handle(VmList { vms: vms.clone() }));
+        });
+    }
+    group.finish();
+}
+
 fn main() {
     let mut criterion = Criterion::default().configure_from_args();
     decide(&mut criterion);
+    list(&mut criterion);
     criterion.final_summary();
 }
