Move overdue requests away from stalled workers, within the retry budget

Cause: a request on a worker that froze waited for the silence limit of two seconds and three times its prediction, however quick others were.

Ruled out: a second attempt beside the first (computes the prompt twice, and a request has one attempt).

Change: a request that may be repeated and has no byte yet moves once when its first token takes three times its prediction and half of the target, its worker has neither reported nor made progress for a second, and another one is predicted within a quarter of the target. It costs a retry; the late attempt is cancelled. Corrections fade by time, and the change of a queue is compared over 100 ms at least, since reports may come with every answer.

Tests: three in core/tests/limits.rs.

--- a/core/benches/policy.rs
+++ b/core/benches/policy.rs
@@ -134,11 +134,12 @@
     let outcome = &model.outcome;
     let (hits, unbounded) = outcome.hits_permille();
     println!(
-        "{:<16} seed {seed}: served {} refused {} on target {} first token p50 {} p95 {} p99 {} ms, \
+        "{:<16} seed {seed}: served {} refused {} moved {} on target {} first token p50 {} p95 {} p99 {} ms, \
          hits {hits} of {unbounded} permille",
         load.name,
         outcome.first_token_ms.len(),
         outcome.refused,
+        outcome.moved,
         outcome.met(TARGET_MS.0),
         outcome.percentile_ms(50),
         outcome.percentile_ms(95),
--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -24,7 +24,9 @@
         request::Request,
         ring::Offers,
         share::{RetryBudget, Shares},
-        system::{configuration, credits, limits, liveness, once, placement, request, stream},
+        system::{
+            configuration, credits, hedge, limits, liveness, once, placement, request, stream,
+        },
         table::Table,
         unit::{DurationMs, TimeMs, Tokens},
         verdict::{Cause, Refusal, Verdict},
@@ -199,6 +201,7 @@
         stream::tick(self);
         once::tick(self);
         limits::tick(self);
+        hedge::tick(self);
         credits::tick(self);
     }
 
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -112,6 +112,8 @@
     pub work_ms: DurationMs,
     /// What a thousand computed tokens cost on the worker.
     pub price: MicroCredits,
+    /// When it was last looked for a quicker worker.
+    pub looked_at_ms: TimeMs,
     /// When the first piece of the answer came.
     pub streaming_since_ms: Option<TimeMs>,
 }
--- a/core/src/system.rs
+++ b/core/src/system.rs
@@ -2,6 +2,7 @@
 
 pub mod configuration;
 pub mod credits;
+pub mod hedge;
 pub mod limits;
 pub mod liveness;
 pub mod once;
--- /dev/null
+++ b/core/src/system/hedge.rs
@@ -0,0 +1,115 @@
+//! Moves requests whose first token is overdue away from workers that have stalled, within the
+//! budget of retries.
+//!
+//! The late attempt is cancelled when the next one is sent: two that run would compute the prompt
+//! twice. Only requests that may be repeated move, before their first byte and once.
+
+use {
+    super::{
+        limits,
+        placement::{self, Placement},
+    },
+    crate::{
+        command::Command,
+        core::Core,
+        declaration::Class,
+        id::RequestId,
+        request::{Attempt, Request},
+        unit::DurationMs,
+        verdict::Verdict,
+    },
+};
+
+/// How many times its predicted time a first token takes until it is overdue.
+const OVERDUE_TIMES: u64 = 3;
+/// The part of the target until which none is overdue, in thousandths.
+const OVERDUE_PERMILLE: u64 = 500;
+/// The part of the target that another worker may need for the first token, in thousandths.
+const QUICK_PERMILLE: u64 = 250;
+/// The time without a report or progress of an attempt after which a worker is taken to have
+/// stalled. One that is only busy keeps its requests.
+const STALLED_MS: DurationMs = DurationMs(1_000);
+/// The time between two looks at a request.
+const LOOK_INTERVAL_MS: DurationMs = DurationMs(200);
+
+/// Moves what is overdue.
+pub fn tick(core: &mut Core) {
+    let due: Vec<RequestId> = core
+        .requests
+        .iter()
+        .filter(|(_, request)| is_overdue(core, request))
+        .map(|row| *row.0)
+        .collect();
+    for id in due {
+        move_on(core, id);
+    }
+}
+
+fn is_overdue(core: &Core, request: &Request) -> bool {
+    let Some(attempt) = &request.attempt else {
+        return false;
+    };
+    let may_move = request.once.is_none()
+        && request.attempts_sent == 1
+        && request.delivered_bytes == 0
+        && !attempt.streaming
+        && attempt.probed_at_ms.is_none();
+    let Some(class) = core.classes.get(&request.class()).filter(|_| may_move) else {
+        return false;
+    };
+    let limit = (attempt.predicted_ms.0 * OVERDUE_TIMES)
+        .max(class.first_token_target_ms.0 * OVERDUE_PERMILLE / 1_000);
+    let stalled = core.workers.get(&attempt.worker).is_some_and(|worker| {
+        let heard_at_ms = worker.progress_at_ms.max(worker.load_heard_at_ms);
+        core.now.since(heard_at_ms) >= STALLED_MS
+    });
+    if !stalled {
+        return false;
+    }
+    let looked = attempt.expected.looked_at_ms;
+    core.now.since(attempt.sent_at_ms).0 > limit && core.now.since(looked) >= LOOK_INTERVAL_MS
+}
+
+fn move_on(core: &mut Core, id: RequestId) {
+    let now = core.now;
+    let Some(request) = core.requests.get_mut(&id) else {
+        return;
+    };
+    let class = core.classes.get(&request.class()).cloned();
+    let Some(attempt) = request.attempt.as_mut() else {
+        return;
+    };
+    attempt.expected.looked_at_ms = now;
+    let late = attempt.clone();
+    request.failed_on.push(late.worker);
+    let quicker = class.and_then(|class| quicker(core, id, &class));
+    if quicker.is_none() || !limits::may_retry(core, id) {
+        if let Some(request) = core.requests.get_mut(&id) {
+            request.failed_on.pop();
+        }
+        return;
+    }
+    leave(core, id, &late);
+    super::request::send(core, id);
+}
+
+/// Another worker that would have the first token soon.
+fn quicker(core: &Core, id: RequestId, class: &Class) -> Option<Placement> {
+    let quick_ms = class.first_token_target_ms.0 * QUICK_PERMILLE / 1_000;
+    placement::place(core, id, class).filter(|placed| placed.predicted_ms.0 <= quick_ms)
+}
+
+fn leave(core: &mut Core, id: RequestId, late: &Attempt) {
+    if let Some(request) = core.requests.get_mut(&id) {
+        request.verdict = Verdict::MayHaveRun;
+    }
+    let late_ms = core.now.since(late.sent_at_ms);
+    if let Some(worker) = core.workers.get_mut(&late.worker) {
+        worker.note_first_token(late.expected.uncorrected_ms, late_ms);
+    }
+    core.emit(Command::Cancel {
+        attempt: late.id,
+        worker: late.worker,
+    });
+    core.end_attempt(id);
+}
--- a/core/src/system/placement.rs
+++ b/core/src/system/placement.rs
@@ -548,6 +548,7 @@
             uncorrected_ms: chosen.uncorrected_ms,
             work_ms: chosen.work_ms,
             price: worker.map(Worker::price).unwrap_or_default(),
+            looked_at_ms: core.now,
             streaming_since_ms: None,
             chain: prompt.chain,
         },
@@ -590,6 +591,7 @@
 /// Learns from what a worker says was cached.
 pub fn accepted(core: &mut Core, id: RequestId, cached_tokens: Tokens) {
     let now = core.now;
+    note_progress(core, id);
     let Some(attempt) = attempt(core, id) else {
         return;
     };
@@ -621,9 +623,20 @@
     core.home_hits_permille = (core.home_hits_permille * 31 + permille) / 32;
 }
 
+fn note_progress(core: &mut Core, id: RequestId) {
+    let now = core.now;
+    let Some(worker) = attempt(core, id).map(|attempt| attempt.worker) else {
+        return;
+    };
+    if let Some(worker) = core.workers.get_mut(&worker) {
+        worker.progress_at_ms = now;
+    }
+}
+
 /// Learns from the time that the first piece of an answer took. Returns the attempt the first time.
 pub fn first_piece(core: &mut Core, id: RequestId) -> Option<Attempt> {
     let now = core.now;
+    note_progress(core, id);
     let attempt = core.requests.get_mut(&id)?.attempt.as_mut()?;
     if attempt.expected.streaming_since_ms.is_some() {
         return None;
@@ -641,6 +654,7 @@
 /// Learns from an answer that came to its end.
 pub fn answered(core: &mut Core, id: RequestId) {
     let now = core.now;
+    note_progress(core, id);
     let Some(attempt) = attempt(core, id) else {
         return;
     };
--- a/core/src/worker.rs
+++ b/core/src/worker.rs
@@ -23,6 +23,10 @@
 const MAX_DELAY_MS: DurationMs = DurationMs(2_000);
 const MIN_LATENESS_PERMILLE: u64 = 500;
 const MAX_LATENESS_PERMILLE: u64 = 4_000;
+/// The time over which the change of a queue tells what others send, at the least.
+const MIN_COMPARE_MS: DurationMs = DurationMs(100);
+/// The time between two steps in which corrections fade.
+const FADE_INTERVAL_MS: DurationMs = DurationMs(200);
 const FIRST_BACK_OFF_MS: u64 = 100;
 const MAX_BACK_OFF_MS: u64 = 10_000;
 /// The ratio of one, in thousandths.
@@ -45,6 +49,15 @@
     },
 }
 
+/// A worker's queue in one of its reports.
+#[derive(Clone, Copy, Debug, Default)]
+struct QueueSeen {
+    at_ms: TimeMs,
+    queued: Tokens,
+    /// What was sent from here since.
+    sent_since: Tokens,
+}
+
 /// A worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -77,11 +90,17 @@
     pub failures_in_row: u32,
     /// The time before which it gets no work while others can take it.
     pub back_off_until_ms: TimeMs,
+    /// When an attempt from here last made progress on it.
+    pub progress_at_ms: TimeMs,
     /// Prompt tokens that wait on it, as of `backlog_at_ms`.
     backlog: Tokens,
     backlog_at_ms: TimeMs,
+    /// The report from which on what others send is estimated next.
+    queue_seen: QueueSeen,
     /// Prompt tokens that other entry VMs send, smoothed.
     others_rate: TokensPerSecond,
+    /// When corrections faded last.
+    faded_at_ms: TimeMs,
     /// Observed over predicted time to the first token, of long ones, in thousandths, smoothed.
     lateness_permille: u64,
     /// What short predictions were too short by, smoothed.
@@ -109,9 +128,12 @@
             in_flight: 0,
             failures_in_row: 0,
             back_off_until_ms: TimeMs::default(),
+            progress_at_ms: TimeMs::default(),
             backlog: Tokens(0),
             backlog_at_ms: TimeMs::default(),
+            queue_seen: QueueSeen::default(),
             others_rate: TokensPerSecond(0),
+            faded_at_ms: TimeMs::default(),
             lateness_permille: ONE_PERMILLE,
             delay_ms: DurationMs(0),
             answer_ms: DEFAULT_ANSWER_MS,
@@ -231,6 +253,7 @@
             self.sent.pop_front();
         }
         self.sent.push_back((now, tokens));
+        self.queue_seen.sent_since += tokens;
         self.add_backlog(tokens, now);
     }
 
@@ -266,31 +289,38 @@
         self.backlog_at_ms = observed_at_ms;
         self.load = Some(report);
         self.load_heard_at_ms = now;
-        self.fade_corrections();
+        self.fade_corrections(now);
         for at in 0..self.sent.len() {
             let (sent_at_ms, tokens) = self.sent[at];
             self.add_backlog(tokens, sent_at_ms);
         }
     }
 
-    /// Estimates what others send from the change of the queue between two reports, as far as the
+    /// Estimates what others send from the change of the queue over some time, as far as the
     /// worker had work all the time.
     fn note_others(&mut self, report: &LoadReport, observed_at_ms: TimeMs) {
-        let Some(last) = &self.load else {
-            return;
-        };
-        let elapsed = observed_at_ms.since(last.observed_at_ms);
-        if elapsed.0 == 0 || elapsed > MAX_REPORT_AGE_MS {
+        let elapsed = observed_at_ms.since(self.queue_seen.at_ms);
+        if elapsed < MIN_COMPARE_MS {
             return;
         }
-        let sent = self.sent.iter().filter(|sent| sent.0 <= observed_at_ms);
-        let own: Tokens = sent.map(|sent| sent.1).sum();
+        let later = self.sent.iter().filter(|sent| sent.0 > observed_at_ms);
+        let later: Tokens = later.map(|sent| sent.1).sum();
+        let last = std::mem::replace(
+            &mut self.queue_seen,
+            QueueSeen {
+                at_ms: observed_at_ms,
+                queued: report.queued_tokens,
+                sent_since: later,
+            },
+        );
+        let own = last.sent_since.saturating_sub(later);
         let computed = self.prefill_rate().tokens_in(elapsed);
-        let arrived = (report.queued_tokens + computed).saturating_sub(last.queued_tokens);
-        let others = if report.queued_tokens.0 == 0 {
-            0
-        } else {
+        let arrived = (report.queued_tokens + computed).saturating_sub(last.queued);
+        let is_known = report.queued_tokens.0 > 0 && elapsed <= MAX_REPORT_AGE_MS;
+        let others = if is_known {
             arrived.saturating_sub(own).0 * 1_000 / elapsed.0
+        } else {
+            0
         };
         self.others_rate = TokensPerSecond((self.others_rate.0 * 3 + others) / 4);
     }
@@ -301,6 +331,7 @@
         self.sent.clear();
         self.backlog = Tokens(0);
         self.others_rate = TokensPerSecond(0);
+        self.queue_seen = QueueSeen::default();
         self.lateness_permille = ONE_PERMILLE;
         self.delay_ms = DurationMs(0);
     }
@@ -327,7 +358,11 @@
     }
 
     /// Lets corrections fade, so that a worker that got no work for them is tried again.
-    fn fade_corrections(&mut self) {
+    fn fade_corrections(&mut self, now: TimeMs) {
+        if now.since(self.faded_at_ms) < FADE_INTERVAL_MS {
+            return;
+        }
+        self.faded_at_ms = now;
         self.delay_ms = DurationMs(self.delay_ms.0 * 31 / 32);
         self.lateness_permille = (self.lateness_permille * 31 + ONE_PERMILLE) / 32;
     }
--- a/core/tests/fleet/model.rs
+++ b/core/tests/fleet/model.rs
@@ -6,8 +6,8 @@
     super::{Fleet, sent, worker},
     bytes::Bytes,
     cactusspur_core::{
-        AttemptId, DurationMs, Event, Incarnation, PIECE_TOKENS, PieceHash, PrefixChain, Send,
-        Tokens, TokensPerSecond, tokens_of_bytes,
+        AttemptId, Command, DurationMs, Event, Incarnation, PIECE_TOKENS, PieceHash, PrefixChain,
+        RequestId, Send, Tokens, TokensPerSecond, tokens_of_bytes,
     },
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -31,6 +31,7 @@
 pub struct Outcome {
     pub first_token_ms: Vec<u64>,
     pub refused: usize,
+    pub moved: usize,
     pub prompt_tokens: u64,
     pub cached_tokens: u64,
     /// What a shared cache without bounds would have had.
@@ -62,6 +63,7 @@
 
 struct Job {
     core: usize,
+    request: RequestId,
     attempt: AttemptId,
     priority: u32,
     arrived_ms: u64,
@@ -115,7 +117,7 @@
     like: Engines,
     seen: BTreeSet<PieceHash>,
     reports: Vec<(u64, usize, u64, u32)>,
-    arrived: BTreeMap<(usize, AttemptId), u64>,
+    prompts: BTreeMap<(usize, RequestId), (u64, Vec<Bytes>)>,
     pub outcome: Outcome,
     pub now_ms: u64,
 }
@@ -143,7 +145,7 @@
             like,
             seen: BTreeSet::new(),
             reports: Vec::new(),
-            arrived: BTreeMap::new(),
+            prompts: BTreeMap::new(),
             outcome: Outcome::default(),
         }
     }
@@ -155,10 +157,15 @@
             self.outcome.refused += 1;
             return;
         };
-        self.enqueue(core, &send, levels);
+        let prompt = (self.now_ms, levels.to_vec());
+        self.prompts.insert((core, send.request), prompt);
+        self.enqueue(core, &send);
     }
 
-    fn enqueue(&mut self, core: usize, send: &Send, levels: &[Bytes]) {
+    fn enqueue(&mut self, core: usize, send: &Send) {
+        let Some((_, levels)) = self.prompts.get(&(core, send.request)) else {
+            return;
+        };
         let chain = send.scope.map(|scope| PrefixChain::of(scope, levels));
         let chain = chain.unwrap_or_default();
         let bytes = levels.iter().map(Bytes::len).sum();
@@ -168,10 +175,10 @@
             .take_while(|piece| self.seen.contains(*piece));
         self.outcome.seen_tokens += seen.count() as u64 * PIECE_TOKENS;
         self.seen.extend(chain.pieces.iter().copied());
-        self.arrived.insert((core, send.attempt), self.now_ms);
         let engine = (0..self.like.count).find(|number| worker(*number) == send.worker);
         self.engines[engine.unwrap_or_default()].waiting.push(Job {
             core,
+            request: send.request,
             attempt: send.attempt,
             priority: send.priority,
             arrived_ms: self.now_ms,
@@ -183,10 +190,12 @@
     /// Lets a millisecond pass.
     pub fn step(&mut self) {
         self.now_ms += 1;
-        for fleet in &mut self.fleets {
+        for core in 0..self.fleets.len() {
+            let fleet = &mut self.fleets[core];
             fleet.now = fleet.now.after(DurationMs(1));
             if self.now_ms.is_multiple_of(20) {
-                fleet.handle(Event::Tick);
+                let commands = fleet.handle(Event::Tick);
+                self.carry_out(core, &commands);
             }
         }
         for number in 0..self.engines.len() {
@@ -196,6 +205,28 @@
         self.report();
     }
 
+    /// Moves attempts as a core wants it.
+    fn carry_out(&mut self, core: usize, commands: &[Command]) {
+        for command in commands {
+            match command {
+                Command::Send(send) => {
+                    self.outcome.moved += 1;
+                    self.enqueue(core, send);
+                }
+                Command::Cancel { attempt, .. } => self.cancel(core, *attempt),
+                _ => {}
+            }
+        }
+    }
+
+    fn cancel(&mut self, core: usize, attempt: AttemptId) {
+        let is_it = |job: &Job| job.core == core && job.attempt == attempt;
+        for engine in &mut self.engines {
+            engine.waiting.retain(|job| !is_it(job));
+            engine.computing.take_if(|(job, _)| is_it(job));
+        }
+    }
+
     fn answer(&mut self, number: usize) {
         let now = self.now_ms;
         let engine = &mut self.engines[number];
@@ -212,10 +243,9 @@
             return;
         };
         engine.cache.store(&job.chain, self.like.cache_pieces);
-        let arrived = self.arrived.remove(&(job.core, job.attempt));
-        self.outcome
-            .first_token_ms
-            .push(now - arrived.unwrap_or(now));
+        let prompt = self.prompts.remove(&(job.core, job.request));
+        let arrived_ms = prompt.map_or(now, |prompt| prompt.0);
+        self.outcome.first_token_ms.push(now - arrived_ms);
         self.fleets[job.core].handle(Event::Piece {
             attempt: job.attempt,
             offset_bytes: 0,
--- a/core/tests/limits.rs
+++ b/core/tests/limits.rs
@@ -4,7 +4,7 @@
 
 use {
     bytes::Bytes,
-    cactusspur_core::{Cause, Event, Failure, Incarnation, Tokens, Verdict},
+    cactusspur_core::{Cause, Command, Event, Failure, Incarnation, Tokens, Verdict},
     fleet::{
         Fleet, TARGET_MS,
         model::{Engines, Model},
@@ -161,3 +161,42 @@
     let least = CAPACITY * SECONDS * 9 / 10;
     assert!(met as u64 >= least, "{met} of {least}, {late} late");
 }
+
+#[test]
+fn an_overdue_request_moves_once_and_its_old_attempt_is_cancelled() {
+    let mut fleet = Fleet::open("entry-0", 4, 1);
+    let first = fleet.send(&question(0));
+    assert!(sent(&fleet.wait(TARGET_MS.0 / 4)).is_none());
+    let commands = fleet.wait(TARGET_MS.0 / 2);
+    let second = sent(&commands).expect("it moves");
+    assert_ne!(second.worker, first.worker);
+    let cancel = Command::Cancel {
+        attempt: first.attempt,
+        worker: first.worker,
+    };
+    assert!(commands.contains(&cancel), "{commands:?}");
+    assert!(sent(&fleet.wait(TARGET_MS.0 * 3 / 4)).is_none());
+}
+
+#[test]
+fn overdue_requests_move_within_the_budget() {
+    let mut fleet = Fleet::open("entry-0", 12, 1);
+    for number in 0..40 {
+        fleet.send(&question(number));
+    }
+    let is_send = |command: &&Command| matches!(command, Command::Send(_));
+    let moved = fleet.wait(TARGET_MS.0 * 3 / 4);
+    assert!(moved.iter().filter(is_send).count() <= 14);
+}
+
+#[test]
+fn begun_answers_do_not_move() {
+    let mut fleet = Fleet::open("entry-0", 4, 1);
+    let send = fleet.send(&question(0));
+    fleet.handle(Event::Piece {
+        attempt: send.attempt,
+        offset_bytes: 0,
+        text: Bytes::from_static(b"answer"),
+    });
+    assert!(sent(&fleet.wait(TARGET_MS.0 * 3 / 4)).is_none());
+}
