Order weights under a lease, two loads at once at the most

One entry VM at a time holds the lease 'orders' in the table service. It counts its time from before it asked and stops 2 s early; a successor waits until the row has stood for the whole term and 2 s. Each write raises the fencing number and names the loads in progress, before they are ordered, so that the next holder counts them. Orders are repeated until reports show the weights. What the fuzzing showed on the way, each mended: - a load was taken for ended when its worker restarted, while an order for the earlier life was still under way: it counts for 15 s more; - a holder with an older configuration brought engines back to older weights: the row names the generation, and whoever has a lower one doesn't ask; - a superseded load that was never ordered took a place for 120 s: the load of newer weights of the same worker takes it over. Not proved: an engine that ignores fencing numbers, or has restarted and forgotten them, obeys a late order of an ended term; the fuzzing counts how often.

--- a/core/src/command.rs
+++ b/core/src/command.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        id::{AttemptId, CacheSequence, Incarnation, PieceHash, RequestId, WorkerId},
+        declaration::Model,
+        id::{
+            AttemptId, CacheSequence, FencingNumber, Incarnation, PieceHash, RequestId, WorkerId,
+        },
         prefix::PrefixScope,
         record::{CallId, RecordCall},
         unit::{DurationMs, MicroCredits, Tokens},
@@ -10,6 +13,7 @@
     },
     bytes::Bytes,
     derive_more::From,
+    serde::{Deserialize, Serialize},
 };
 
 /// Something that the core asks for.
@@ -65,6 +69,15 @@
         /// The call.
         what: RecordCall,
     },
+    /// Give a worker an order.
+    Order {
+        /// The worker.
+        worker: WorkerId,
+        /// The number of the lease's term.
+        fencing: FencingNumber,
+        /// The order.
+        order: Order,
+    },
     /// Ask a worker over a new connection whether it is alive.
     Probe {
         /// The worker.
@@ -79,6 +92,14 @@
     },
 }
 
+/// An order to a worker. It states what is to be, so it may be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Order {
+    /// Load a model with the weights that it names.
+    Load(Model),
+}
+
 /// An attempt to send.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Send {
--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -23,7 +23,9 @@
         request::Request,
         ring::Offers,
         share::{RetryBudget, Shares},
-        system::{configuration, credits, limits, liveness, once, placement, request, stream},
+        system::{
+            configuration, credits, limits, liveness, once, orders, placement, request, stream,
+        },
         table::Table,
         unit::{DurationMs, TimeMs, Tokens},
         verdict::{Cause, Refusal, Verdict},
@@ -84,6 +86,7 @@
     pub(crate) shares_looked_at_ms: TimeMs,
     pub(crate) retries: RetryBudget,
     pub(crate) credits: Credits,
+    pub(crate) orders: orders::Orders,
     pub(crate) shutting_down: bool,
     next_attempt: u64,
     next_call: u64,
@@ -115,6 +118,7 @@
             shares_looked_at_ms: TimeMs::default(),
             retries: RetryBudget::default(),
             credits: Credits::default(),
+            orders: orders::Orders::default(),
             shutting_down: false,
             next_attempt: 0,
             next_call: 0,
@@ -165,7 +169,8 @@
             }
             Event::CallerLeft { request } => request::caller_left(self, request),
             Event::RecordAnswered { call, answer } => {
-                if !credits::answered(self, call, &answer) {
+                if !credits::answered(self, call, &answer) && !orders::answered(self, call, &answer)
+                {
                     once::answered(self, call, answer);
                 }
             }
@@ -176,6 +181,9 @@
             Event::Load(report) => liveness::load(self, report),
             Event::Cache(report) => liveness::cache(self, &report),
             Event::CacheSnapshot(snapshot) => liveness::cache_snapshot(self, &snapshot),
+            Event::OrderAnswered {
+                fencing, outcome, ..
+            } => orders::order_answered(self, fencing, outcome),
             Event::WorkerLeaving {
                 worker,
                 incarnation,
@@ -194,6 +202,7 @@
         once::tick(self);
         limits::tick(self);
         credits::tick(self);
+        orders::tick(self);
     }
 
     /// The generation of the configuration in force.
--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -4,8 +4,8 @@
     crate::{
         declaration::Configuration,
         id::{
-            AttemptId, CacheSequence, ClassId, CustomerId, DomainId, EntryId, Incarnation, ModelId,
-            PieceHash, RequestId, ServiceId, WeightsVersion, WorkerId,
+            AttemptId, CacheSequence, ClassId, CustomerId, DomainId, EntryId, FencingNumber,
+            Incarnation, ModelId, PieceHash, RequestId, ServiceId, WeightsVersion, WorkerId,
         },
         record::{CallId, RecordAnswer},
         unit::{DurationMs, MicroCredits, TimeMs, Tokens, TokensPerSecond},
@@ -96,6 +96,15 @@
     /// A worker's whole cache was read.
     #[from]
     CacheSnapshot(CacheSnapshot),
+    /// A worker has answered an order, or has not.
+    OrderAnswered {
+        /// The worker.
+        worker: WorkerId,
+        /// The number that the order carried.
+        fencing: FencingNumber,
+        /// What became of it.
+        outcome: OrderOutcome,
+    },
     /// A worker has said itself that it is leaving.
     WorkerLeaving {
         /// The worker.
@@ -134,6 +143,17 @@
     pub body_hash: u64,
 }
 
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderOutcome {
+    /// The worker has taken it.
+    Applied,
+    /// The worker has seen a higher fencing number.
+    Outdated,
+    /// No answer, or an error: it may have been taken.
+    Unknown,
+}
+
 /// How an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Failure {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -25,11 +25,11 @@
 pub mod worker;
 
 pub use crate::{
-    command::{Command, Send, Usage},
+    command::{Command, Order, Send, Usage},
     core::{Core, CoreSettings, TICK_MS, TableSizes},
     declaration::{Class, Configuration, CreditGrant, Customer, Declarations, Model, ServedBy},
     event::{
-        Arrival, CacheChange, CacheReport, CacheSnapshot, Event, Failure, LoadReport,
+        Arrival, CacheChange, CacheReport, CacheSnapshot, Event, Failure, LoadReport, OrderOutcome,
         RETRY_AFTER_MS, Vm, VmList, VmRole,
     },
     id::{
@@ -42,7 +42,7 @@
     },
     record::{
         CallId, LeaseRecord, LedgerRecord, OnceRecord, OnceState, Record, RecordAnswer, RecordCall,
-        RecordKey, Row, RowVersion,
+        RecordKey, Row, RowVersion, WeightLoad,
     },
     table::Table,
     unit::{DurationMs, MicroCredits, TimeMs, Tokens, TokensPerSecond},
--- a/core/src/record.rs
+++ b/core/src/record.rs
@@ -4,7 +4,10 @@
 
 use {
     crate::{
-        id::{AttemptId, CustomerId, EntryId, FencingNumber, OnceKey},
+        id::{
+            AttemptId, CustomerId, EntryId, FencingNumber, Generation, Incarnation, ModelId,
+            OnceKey, WeightsVersion, WorkerId,
+        },
         unit::{MicroCredits, TimeMs},
     },
     bytes::Bytes,
@@ -130,6 +133,29 @@
     pub fencing: FencingNumber,
     /// How long a term lasts from its write, in milliseconds.
     pub term_ms: u64,
+    /// The generation of the configuration that the holder goes by. Whoever has a lower one doesn't
+    /// ask.
+    #[serde(default)]
+    pub generation: Generation,
+    /// Loads of weights that have been ordered, or are about to be, and are not known to have
+    /// ended.
+    #[serde(default)]
+    pub loads: Vec<WeightLoad>,
+}
+
+/// A load of weights onto a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightLoad {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its life when the load was decided.
+    pub incarnation: Option<Incarnation>,
+    /// The model with its adapter.
+    pub model: ModelId,
+    /// The weights.
+    pub weights_version: WeightsVersion,
+    /// When it was decided, by the clock of the holder.
+    pub ordered_at_ms: TimeMs,
 }
 
 /// A row with its version.
@@ -141,6 +167,17 @@
     pub record: Record,
 }
 
+impl Row {
+    /// The version and the lease, if it is one.
+    #[must_use]
+    pub fn into_lease(self) -> Option<(RowVersion, LeaseRecord)> {
+        match self.record {
+            Record::Lease(lease) => Some((self.version, lease)),
+            Record::Once(_) | Record::Ledger(_) => None,
+        }
+    }
+}
+
 /// A call to the table service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RecordCall {
--- a/core/src/system.rs
+++ b/core/src/system.rs
@@ -2,9 +2,11 @@
 
 pub mod configuration;
 pub mod credits;
+pub mod lease;
 pub mod limits;
 pub mod liveness;
 pub mod once;
+pub mod orders;
 pub mod placement;
 pub mod request;
 pub mod stream;
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -45,6 +45,13 @@
             }
             ntex::rt::spawn(async move { link.cancel(worker, attempt).await });
         }
+        Command::Order {
+            worker,
+            fencing,
+            order,
+        } => {
+            ntex::rt::spawn(async move { link.order(worker, fencing, &order).await });
+        }
         Command::Probe { worker } => {
             ntex::rt::spawn(async move { link.probe(worker).await });
         }
--- a/src/timeline/record.rs
+++ b/src/timeline/record.rs
@@ -3,7 +3,7 @@
 use {
     super::{Filter, HybridClock, HybridTime, MAX_ANSWER_EVENTS, RequestName, TimelinePart},
     cactusspur_core::{
-        AttemptId, CallId, ClassId, Command, Configuration, Event, RecordAnswer, RecordCall,
+        AttemptId, CallId, ClassId, Command, Configuration, Event, Order, RecordAnswer, RecordCall,
         RecordKey, RequestId, Send, Table, TimeMs, VmList, WorkerId,
     },
     derive_more::Display,
@@ -62,6 +62,12 @@
     /// A worker was asked whether it is alive.
     #[display("probe")]
     Probe,
+    /// A worker was given an order.
+    #[display("order")]
+    Order,
+    /// What became of an order.
+    #[display("order answered")]
+    OrderAnswered,
     /// The result of asking.
     #[display("probed")]
     Probed,
@@ -311,6 +317,14 @@
             Event::Configured(configuration) => self.configured(now, configuration),
             Event::Vms(list) => self.learn_workers(list),
             Event::ShutdownStarted => self.note(now, Kind::ShutdownStarted, String::new()),
+            Event::OrderAnswered {
+                worker,
+                fencing,
+                outcome,
+            } => {
+                let detail = format!("fencing {fencing}: {outcome:?}");
+                self.push(now, Kind::OrderAnswered, Self::of_worker(*worker), detail);
+            }
             Event::WorkerLeaving { worker, .. } => {
                 self.push(now, Kind::Leaving, Self::of_worker(*worker), String::new());
             }
@@ -349,6 +363,17 @@
                 self.last(now, Kind::Refused, *request, refusal.to_string());
             }
             Command::Record { call, what } => self.record_called(now, *call, what),
+            Command::Order {
+                worker,
+                fencing,
+                order: Order::Load(model),
+            } => {
+                let detail = format!(
+                    "fencing {fencing}: load {} at weights {}",
+                    model.name, model.weights_version
+                );
+                self.push(now, Kind::Order, Self::of_worker(*worker), detail);
+            }
             Command::Probe { worker } => {
                 self.push(now, Kind::Probe, Self::of_worker(*worker), String::new());
             }
--- a/src/worker_link.rs
+++ b/src/worker_link.rs
@@ -5,8 +5,9 @@
     bytes::Bytes,
     cactusspur_core::{
         AttemptId, CacheChange, CacheReport, CacheSequence, CacheSnapshot, ClassId, CustomerId,
-        Event, Failure, Incarnation, LoadReport, MicroCredits, ModelId, PieceHash, Send, ServedBy,
-        TimeMs, Tokens, TokensPerSecond, Verdict, WeightsVersion, WorkerId,
+        Event, Failure, FencingNumber, Incarnation, LoadReport, MicroCredits, ModelId, Order,
+        OrderOutcome, PieceHash, Send, ServedBy, TimeMs, Tokens, TokensPerSecond, Verdict,
+        WeightsVersion, WorkerId,
     },
     futures::StreamExt,
     ntex::{
@@ -311,6 +312,41 @@
         }
     }
 
+    /// Gives a worker an order and reports what became of it.
+    pub async fn order(&self, worker: WorkerId, fencing: FencingNumber, order: &Order) {
+        let outcome = self
+            .send_order(worker, fencing, order)
+            .await
+            .unwrap_or(OrderOutcome::Unknown);
+        self.driver.handle(Event::OrderAnswered {
+            worker,
+            fencing,
+            outcome,
+        });
+    }
+
+    async fn send_order(
+        &self,
+        worker: WorkerId,
+        fencing: FencingNumber,
+        order: &Order,
+    ) -> Option<OrderOutcome> {
+        let address = self.driver.address(worker)?;
+        let body = serde_json::json!({ "fencing": fencing, "order": order });
+        let request = new_client()
+            .await
+            .post(format!("http://{address}/v1/orders"));
+        let response = timeout(REPORT_TIMEOUT, request.send_json(&body))
+            .await
+            .ok()?
+            .ok()?;
+        match response.status() {
+            StatusCode::OK => Some(OrderOutcome::Applied),
+            StatusCode::CONFLICT => Some(OrderOutcome::Outdated),
+            _ => None,
+        }
+    }
+
     /// Asks a worker over a new connection whether it is alive.
     pub async fn probe(&self, worker: WorkerId) {
         let incarnation = self.health(worker).await;
