--- a/standins/src/load/cluster.rs
+++ b/standins/src/load/cluster.rs
@@ -1,12 +1,15 @@
 //! A whole cluster as processes on loopback: stand-ins, and entry VMs where a policy needs them.
 
 use {
-    crate::load::{
-        call::open_client,
-        engine_shape::{ENGINES, EngineShape},
-        process::{Process, Signal, beside},
-        scenario::{Action, Target},
-        workload::{Workload, lasting_grant},
+    crate::{
+        load::{
+            call::open_client,
+            engine_shape::{ENGINES, EngineShape},
+            process::{Process, Signal, beside},
+            scenario::{Action, Target},
+            workload::{Workload, lasting_grant},
+        },
+        log::LogEntry,
     },
     cactusspur_core::{Configuration, CreditGrant, Generation, MicroCredits, TimeMs, Vm, VmRole},
     derive_more::{Add, AddAssign, Display, Error, Sum},
@@ -66,7 +69,11 @@
 
 /// What the engines have done in all.
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Add, AddAssign, Sum, Serialize, Deserialize,
+    Clone, Copy, Debug, Default, PartialEq, Eq, Add, AddAssign, Display, Sum, Serialize, Deserialize,
+)]
+#[display(
+    "{attempts} attempts, {finished} finished, {cancelled} cancelled, {computed_tokens} prompt \
+     tokens computed"
 )]
 #[serde(default)]
 pub struct EngineTotals {
@@ -93,7 +100,7 @@
     pub workload: Workload,
     /// Entry VMs, spread over the failure domains.
     pub entry_vms: usize,
-    /// How much of each customer's credits lapses, and when after the start; none for nothing.
+    /// How much of all customers' credits lapses, and when after the start; none for nothing.
     pub lapsing: Option<(MicroCredits, Duration)>,
 }
 
@@ -109,6 +116,7 @@
     engines: Vec<Server>,
     services: Vec<Server>,
     entries: Vec<Entry>,
+    daemon: PathBuf,
     directory: PathBuf,
 }
 
@@ -124,6 +132,18 @@
     /// # Errors
     /// When a process can't be started, or the cluster is not ready in time.
     pub async fn spawn(plan: &ClusterPlan) -> Result<Self, Report<ClusterError>> {
+        let daemon = beside("cactusspurd").change_context(failed("daemon"))?;
+        Self::spawn_with(plan, daemon).await
+    }
+
+    /// As [`Cluster::spawn`], with a daemon of another build.
+    ///
+    /// # Errors
+    /// As there.
+    pub async fn spawn_with(
+        plan: &ClusterPlan,
+        daemon: PathBuf,
+    ) -> Result<Self, Report<ClusterError>> {
         let client = open_client().await.change_context(failed("client"))?;
         let workload = plan.workload;
         let domains = workload.domains().len();
@@ -150,6 +170,7 @@
             engines,
             services,
             entries: Vec::new(),
+            daemon,
             directory,
         };
         cluster.start_entries(plan.entry_vms)?;
@@ -182,6 +203,35 @@
         &self.platform.address
     }
 
+    /// The process of an entry VM.
+    pub fn entry_process(&mut self, entry: usize) -> Option<&mut Process> {
+        self.entries.get_mut(entry).map(|entry| &mut entry.process)
+    }
+
+    /// Starts an entry VM's process again, on the same addresses, and kills the one before.
+    ///
+    /// # Errors
+    /// When it can't be started.
+    pub fn restart_entry(&mut self, entry: usize) -> Result<(), Report<ClusterError>> {
+        let Some(entry) = self.entries.get_mut(entry) else {
+            return Err(Report::new(failed("no such entry VM")));
+        };
+        entry.process.kill();
+        entry.process = start_daemon(&self.daemon, &entry.settings)?;
+        Ok(())
+    }
+
+    /// What the engines have run, in no order.
+    pub async fn engine_log(&self) -> Vec<LogEntry> {
+        let mut entries = Vec::new();
+        for engine in &self.engines {
+            let log = self.get(&engine.address, "/standin/log").await;
+            let log = log.and_then(|log| serde_json::from_value(log["entries"].clone()).ok());
+            entries.extend(log.unwrap_or_else(Vec::new));
+        }
+        entries
+    }
+
     /// The attempts that its plain services have run with an idempotency key.
     pub async fn runs_of(&self, key: &str) -> usize {
         let mut runs = 0;
@@ -249,7 +299,7 @@
             let text = serde_norway::to_string(&content).change_context(failed("settings"))?;
             fs::write(&settings, text).change_context(failed("settings"))?;
             self.entries.push(Entry {
-                process: daemon(&settings)?,
+                process: start_daemon(&self.daemon, &settings)?,
                 callers,
                 operators,
                 peers,
@@ -426,7 +476,7 @@
             entry.process.kill();
         }
         for entry in &mut self.entries {
-            entry.process = daemon(&entry.settings)?;
+            entry.process = start_daemon(&self.daemon, &entry.settings)?;
         }
         Ok(())
     }
@@ -507,10 +557,9 @@
     })
 }
 
-fn daemon(settings: &Path) -> Result<Process, Report<ClusterError>> {
-    let path = beside("cactusspurd").change_context(failed("daemon"))?;
+fn start_daemon(path: &Path, settings: &Path) -> Result<Process, Report<ClusterError>> {
     let arguments = ["--settings".to_owned(), settings.display().to_string()];
-    Process::spawn(&path, &arguments).change_context(failed("daemon"))
+    Process::spawn(path, &arguments).change_context(failed("daemon"))
 }
 
 /// An address that was free a moment ago. A daemon that is started again needs the same one.
