--- a/core/src/system/request.rs
+++ b/core/src/system/request.rs
@@ -27,7 +27,8 @@
 /// How long a plain service may take to answer a call that may not be repeated.
 const ONCE_CALL_LIMIT_MS: DurationMs = DurationMs(15_000);
 
-/// Takes a request in: it is sent, recorded or refused at once.
+/// Takes a request in: it is sent, recorded or refused at once. One that could not be sent now is
+/// not recorded.
 pub fn arrive(core: &mut Core, arrival: Arrival) {
     let id = arrival.request;
     let class = match admit(core, &arrival) {
--- a/core/tests/promises.rs
+++ b/core/tests/promises.rs
@@ -349,3 +349,44 @@
     }
     assert!(core.sizes().once <= 4_096);
 }
+
+#[test]
+fn an_outage_refuses_calls_with_keys_alone() {
+    let mut core = open();
+    let (mut sent_count, mut refused_count) = (0, 0);
+    for round in 0..100 {
+        let read = common::arrival(round * 3 + 2, CUSTOMERS[0], READ, &["design"]);
+        for arrival in [dispatch(round * 3), chat(round * 3 + 1), read] {
+            let key = Some(round.to_string());
+            let arrival = Arrival {
+                once_key: arrival.once_key.and(key),
+                ..arrival
+            };
+            let at = later(round * 2_000);
+            let commands = core.handle(at, Event::Arrived(arrival));
+            let Some(send) = sent(&commands) else {
+                continue;
+            };
+            sent_count += 1;
+            let request = send.request;
+            core.handle(at, Event::CallerLeft { request });
+        }
+        let overdue = core.handle(later(round * 2_000 + 1_001), Event::Tick);
+        let refusal = refused(&overdue).expect("refused");
+        assert_eq!(refusal.verdict, Verdict::NotRun);
+        refused_count += 1;
+    }
+    assert_eq!((sent_count, refused_count), (200, 100));
+}
+
+#[test]
+fn a_dispatch_that_no_worker_takes_does_not_use_the_table_service() {
+    let mut core = open();
+    core.handle(START, Event::Vms(VmList::default()));
+    let commands = core.handle(START, Event::Arrived(dispatch(1)));
+    assert_eq!(
+        refused(&commands).expect("refused").verdict,
+        Verdict::NotRun
+    );
+    assert_eq!(commands.len(), 1);
+}
