--- /dev/null
+++ b/core/tests/orders.rs
@@ -0,0 +1,147 @@
+//! Orders to load weights, under the lease.
+
+mod common;
+
+use {
+    cactusspur_core::{
+        CallId, Command, Core, DurationMs, EntryId, Event, FencingNumber, Generation, LeaseRecord,
+        Record, RecordAnswer, RecordCall, Row, RowVersion, TimeMs, VmList,
+    },
+    test_case::test_case,
+};
+
+const START: TimeMs = TimeMs(1_000_000);
+const ENGINES: [&str; 3] = ["engine-a", "engine-b", "engine-c"];
+
+fn at(ms: u64) -> TimeMs {
+    START.after(DurationMs(ms))
+}
+
+/// A core whose three engines have older weights than its configuration declares.
+fn open() -> Core {
+    let mut core = common::core("entry-a", "a", 1);
+    let vms = ENGINES.map(|name| common::vm(name, "a", None, false));
+    core.handle(START, Event::Configured(common::configuration(3)));
+    core.handle(START, Event::Vms(VmList { vms: vms.into() }));
+    for engine in ENGINES {
+        let report = common::load(engine, 1, START, Some(common::weights(1)));
+        core.handle(START, Event::Load(report));
+    }
+    core
+}
+
+fn call(commands: &[Command]) -> Option<(CallId, Option<LeaseRecord>)> {
+    commands.iter().find_map(|command| match command {
+        Command::Record { call, what } => Some((*call, written(what))),
+        _ => None,
+    })
+}
+
+fn written(what: &RecordCall) -> Option<LeaseRecord> {
+    match what {
+        RecordCall::Write {
+            record: Record::Lease(lease),
+            ..
+        } => Some(lease.clone()),
+        _ => None,
+    }
+}
+
+fn answer(core: &mut Core, ms: u64, call: CallId, answer: RecordAnswer) -> Vec<Command> {
+    core.handle(at(ms), Event::RecordAnswered { call, answer })
+}
+
+fn orders(commands: &[Command]) -> usize {
+    let order = |command: &&Command| matches!(command, Command::Order { .. });
+    commands.iter().filter(order).count()
+}
+
+/// Lets the core read the row, and gives back what it writes at `ms`, if it does.
+fn ask(core: &mut Core, row: Option<Row>, ms: u64) -> Option<(CallId, LeaseRecord)> {
+    let (read, _) = call(&core.handle(START, Event::Tick)).expect("a read");
+    answer(core, 0, read, RecordAnswer::Read(row));
+    let (call, lease) = call(&core.handle(at(ms), Event::Tick))?;
+    Some((call, lease?))
+}
+
+/// A row that another process has written.
+fn foreign(generation: u64) -> Row {
+    Row {
+        version: RowVersion(1),
+        record: Record::Lease(LeaseRecord {
+            holder: EntryId::of("entry-b"),
+            holder_incarnation: 2,
+            fencing: FencingNumber(6),
+            term_ms: 10_000,
+            generation: Generation(generation),
+            loads: Vec::new(),
+        }),
+    }
+}
+
+#[test]
+fn two_loads_are_recorded_and_then_ordered() {
+    let mut core = open();
+    let (asked, _) = ask(&mut core, None, 0).expect("a write");
+    answer(&mut core, 1, asked, RecordAnswer::Written(RowVersion(1)));
+    let recording = core.handle(at(20), Event::Tick);
+    assert_eq!(orders(&recording), 0);
+    let (recorded, lease) = call(&recording).expect("a write");
+    assert_eq!(lease.expect("a lease").loads.len(), 2);
+    answer(
+        &mut core,
+        21,
+        recorded,
+        RecordAnswer::Written(RowVersion(2)),
+    );
+    assert_eq!(orders(&core.handle(at(40), Event::Tick)), 2);
+    assert_eq!(orders(&core.handle(at(60), Event::Tick)), 0);
+}
+
+#[test]
+fn a_paused_holder_gives_no_orders() {
+    let mut core = open();
+    let (asked, _) = ask(&mut core, None, 0).expect("a write");
+    answer(&mut core, 1, asked, RecordAnswer::Written(RowVersion(1)));
+    let (recorded, _) = call(&core.handle(at(20), Event::Tick)).expect("a write");
+    let late = RecordAnswer::Written(RowVersion(2));
+    let commands = answer(&mut core, 8_100, recorded, late);
+    assert_eq!(orders(&commands), 0);
+    assert_eq!(orders(&core.handle(at(8_120), Event::Tick)), 0);
+}
+
+#[test]
+fn a_term_counts_from_the_first_ask_when_the_answer_was_lost() {
+    let mut core = open();
+    let (asked, lease) = ask(&mut core, None, 0).expect("a write");
+    answer(&mut core, 500, asked, RecordAnswer::Unknown);
+    let (again, _) = call(&core.handle(at(1_600), Event::Tick)).expect("a repetition");
+    let standing = Row {
+        version: RowVersion(1),
+        record: Record::Lease(lease),
+    };
+    answer(
+        &mut core,
+        8_100,
+        again,
+        RecordAnswer::Conflict(Some(standing)),
+    );
+    let commands = core.handle(at(8_120), Event::Tick);
+    assert_eq!(
+        call(&commands).and_then(|call| call.1),
+        None,
+        "not held any more"
+    );
+}
+
+#[test_case(11_900, 1, false; "within the term and the margin")]
+#[test_case(12_100, 1, true; "after them")]
+#[test_case(12_100, 9, false; "after them with a newer configuration in the row")]
+fn a_successor_waits(ms: u64, generation: u64, asks: bool) {
+    let mut core = open();
+    let asked = ask(&mut core, Some(foreign(generation)), ms);
+    assert_eq!(asked.is_some(), asks);
+    if let Some((_, lease)) = asked {
+        assert_eq!(lease.fencing, FencingNumber(7));
+    }
+}
