--- /dev/null
+++ b/core/tests/fuzz/world/workers.rs
@@ -0,0 +1,215 @@
+//! How workers take requests and orders, and report.
+
+use {
+    super::{MAX_LOADS, NODES, Parcel, World, dispatch},
+    crate::{
+        common::{self},
+        worker::WorkerModel,
+    },
+    bytes::Bytes,
+    cactusspur_core::{
+        AttemptId, DurationMs, Event, Failure, FencingNumber, OrderOutcome, PIECE_TOKENS,
+        PrefixChain, RecordKey, Row, Send, Tokens, Verdict, VmList, WeightsVersion, WorkerId,
+    },
+};
+
+impl World {
+    /// Whether messages pass between an entry VM and a worker.
+    pub(super) fn reaches(&self, node: usize, id: WorkerId) -> bool {
+        let node = &self.nodes[node];
+        let own = |worker: &WorkerModel| worker.id() == id && worker.domain == node.domain;
+        node.parted_until <= self.now || self.workers.iter().any(own)
+    }
+
+    pub(super) fn worker(&mut self, id: WorkerId) -> &mut WorkerModel {
+        let known = self.workers.iter_mut().find(|worker| worker.id() == id);
+        known.expect("a worker of this world")
+    }
+
+    /// An engine is given an order: no more than two load at once by orders in force.
+    pub(super) fn order(
+        &mut self,
+        id: WorkerId,
+        fencing: FencingNumber,
+        weights: WeightsVersion,
+    ) -> OrderOutcome {
+        let now = self.now;
+        let ready_at = now.after(DurationMs(500 + self.draw(4_000)));
+        let row = self.table.row(&RecordKey::Lease("orders".into()));
+        let standing = row.cloned().and_then(Row::into_lease);
+        let outdated = standing.is_some_and(|(_, lease)| fencing < lease.fencing);
+        let worker = self.worker(id);
+        if worker.answers(now).is_none() {
+            return OrderOutcome::Unknown;
+        }
+        let before = worker.loading;
+        let outcome = worker.order(fencing, weights, ready_at);
+        if worker.loading == before {
+            return outcome;
+        }
+        worker.outdated = outdated;
+        self.loads += 1;
+        self.stale_orders += u64::from(outdated);
+        let loading = |worker: &&WorkerModel| worker.loading.is_some() && !worker.outdated;
+        let loads = self.workers.iter().filter(loading).count();
+        assert!(loads <= MAX_LOADS, "{loads} loads at once");
+        outcome
+    }
+
+    pub(super) fn chain_of(&self, send: &Send) -> PrefixChain {
+        let ask = self.oracle.asks.get(&send.request);
+        let arrival = &ask.expect("a request that was asked").arrival;
+        let scope = send
+            .scope
+            .map(|scope| PrefixChain::of(scope, &arrival.levels));
+        scope.unwrap_or_default()
+    }
+
+    /// A worker takes an attempt on, or refuses it.
+    pub(super) fn run(&mut self, id: WorkerId, node: usize, life: u64, send: &Send) {
+        let now = self.now;
+        let attempt = send.attempt;
+        let full = self.draw(20) == 0 && !self.healed;
+        let reached = self.reaches(node, id);
+        let worker = self.worker(id);
+        if worker.frozen_until > now {
+            let wait_ms = worker.frozen_until.since(now).0;
+            let worker = id;
+            let send = send.clone();
+            let job = Parcel::Job {
+                worker,
+                node,
+                life,
+                send,
+            };
+            return self.later(wait_ms, job);
+        }
+        let scope = send.scope;
+        let lacks = scope.is_some_and(|scope| scope.weights != worker.weights);
+        let failure = if worker.down_until > now || !reached {
+            Some(Failure::Connect)
+        } else if full || lacks || worker.leaving {
+            Some(Failure::Refused)
+        } else {
+            None
+        };
+        if let Some(failure) = failure {
+            let verdict = Verdict::NotRun;
+            let event = Event::AttemptFailed {
+                attempt,
+                verdict,
+                failure,
+            };
+            let parcel = if reached {
+                Parcel::from(node, life, id, attempt, event)
+            } else {
+                Parcel::event(node, life, event)
+            };
+            return self.later(1, parcel);
+        }
+        self.oracle.ran(send.request, attempt, dispatch());
+        if scope.is_some() {
+            self.generate(id, node, life, send);
+            return;
+        }
+        let slow = self.draw(6) == 0;
+        let wait_ms = if slow { 4_000 } else { 0 } + self.draw(1_000);
+        let event = Event::CallAnswered {
+            attempt,
+            status: 200,
+            body: Bytes::from(attempt.to_string()),
+        };
+        self.later(wait_ms, Parcel::from(node, life, id, attempt, event));
+    }
+
+    pub(super) fn generate(&mut self, id: WorkerId, node: usize, life: u64, send: &Send) {
+        let attempt = send.attempt;
+        let chain = self.chain_of(send);
+        let worker = self.worker(id);
+        let incarnation = worker.incarnation;
+        let (changes, cached) = worker.compute(&chain.pieces);
+        for piece in &chain.pieces {
+            self.oracle.cacheable.insert((id, incarnation, *piece), ());
+        }
+        self.tell_all(&Event::Cache(changes));
+        let ask = self.oracle.asks.get(&send.request);
+        let answer = ask.expect("a request that was asked").expected.clone();
+        let mut at_ms = self.draw(150);
+        let accepted = Event::AttemptAccepted {
+            attempt,
+            incarnation,
+            cached_tokens: Tokens(cached as u64 * PIECE_TOKENS),
+        };
+        self.later(at_ms, Parcel::from(node, life, id, attempt, accepted));
+        let mut offset = usize::try_from(send.resume_offset_bytes).unwrap_or(usize::MAX);
+        while offset < answer.len() {
+            let end = answer.len().min(offset + 7);
+            at_ms += 10 + self.draw(120);
+            let piece = Event::Piece {
+                attempt,
+                offset_bytes: offset as u64,
+                text: answer.slice(offset..end),
+            };
+            self.later(at_ms, Parcel::from(node, life, id, attempt, piece));
+            offset = end;
+        }
+        let finished = Event::AttemptFinished {
+            attempt,
+            answer_bytes: answer.len() as u64,
+            answer_tokens: Tokens(answer.len() as u64),
+        };
+        self.later(at_ms + 1, Parcel::from(node, life, id, attempt, finished));
+    }
+
+    /// Drops what an attempt would still have sent.
+    pub(super) fn cancel(&mut self, attempt: AttemptId) {
+        self.parcels.retain(|row| row.2.attempt() != Some(attempt));
+    }
+
+    /// Sends an event to all entry VMs, late, and now and then not at all or twice.
+    pub(super) fn tell_all(&mut self, event: &Event) {
+        for node in 0..NODES {
+            let life = self.nodes[node].life;
+            for _ in 0..[1, 1, 1, 0, 2][usize::try_from(self.draw(5)).unwrap_or(0)] {
+                let wait_ms = self.draw(800);
+                self.later(wait_ms, Parcel::event(node, life, event.clone()));
+            }
+        }
+    }
+
+    pub(super) fn report(&mut self) {
+        let now = self.now;
+        for at in 0..self.workers.len() {
+            if self.workers[at].answers(now).is_none() {
+                continue;
+            }
+            let worker = &self.workers[at];
+            let (id, incarnation) = (worker.id(), worker.incarnation);
+            let loaded = worker.service.is_none().then_some(worker.weights);
+            let report = common::load(worker.name, incarnation.0, now, loaded);
+            let leaving = worker.leaving;
+            self.tell_all(&Event::Load(report));
+            if leaving {
+                let worker = id;
+                self.tell_all(&Event::WorkerLeaving {
+                    worker,
+                    incarnation,
+                });
+            }
+        }
+        let listed = |worker: &&WorkerModel| worker.unlisted_until <= now;
+        let vms = self.workers.iter().filter(listed).map(|worker| {
+            let leaving = worker.listed_leaving_from.is_some_and(|from| from <= now);
+            common::vm(worker.name, worker.domain, worker.service, leaving)
+        });
+        let list = VmList { vms: vms.collect() };
+        for node in 0..NODES {
+            let life = self.nodes[node].life;
+            let lag = now.after(DurationMs(self.draw(1_500)));
+            let at = lag.max(self.nodes[node].lists_at);
+            self.nodes[node].lists_at = at;
+            let event = Event::Vms(list.clone());
+            self.later(at.since(now).0, Parcel::event(node, life, event));
+        }
+    }
+}
