--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -25,7 +25,8 @@
         ring::Offers,
         share::{RetryBudget, Shares},
         system::{
-            configuration, credits, hedge, limits, liveness, once, placement, request, stream,
+            configuration, credits, hedge, limits, liveness, once, orders, placement, request,
+            stream,
         },
         table::Table,
         unit::{DurationMs, TimeMs, Tokens},
@@ -89,6 +90,7 @@
     pub(crate) shares_looked_at_ms: TimeMs,
     pub(crate) retries: RetryBudget,
     pub(crate) credits: Credits,
+    pub(crate) orders: orders::Orders,
     pub(crate) shutting_down: bool,
     next_attempt: u64,
     next_call: u64,
@@ -122,6 +124,7 @@
             shares_looked_at_ms: TimeMs::default(),
             retries: RetryBudget::default(),
             credits: Credits::default(),
+            orders: orders::Orders::default(),
             shutting_down: false,
             next_attempt: 0,
             next_call: 0,
@@ -172,7 +175,8 @@
             }
             Event::CallerLeft { request } => request::caller_left(self, request),
             Event::RecordAnswered { call, answer } => {
-                if !credits::answered(self, call, &answer) {
+                if !credits::answered(self, call, &answer) && !orders::answered(self, call, &answer)
+                {
                     once::answered(self, call, answer);
                 }
             }
@@ -184,6 +188,9 @@
             Event::Load(report) => liveness::load(self, report),
             Event::Cache(report) => liveness::cache(self, &report),
             Event::CacheSnapshot(snapshot) => liveness::cache_snapshot(self, &snapshot),
+            Event::OrderAnswered {
+                fencing, outcome, ..
+            } => orders::order_answered(self, fencing, outcome),
             Event::WorkerLeaving {
                 worker,
                 incarnation,
@@ -203,6 +210,7 @@
         limits::tick(self);
         hedge::tick(self);
         credits::tick(self);
+        orders::tick(self);
     }
 
     /// The generation of the configuration in force.
