--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -18,12 +18,16 @@
             WeightsVersion, WorkerId,
         },
         kept::KeptPieces,
+        margin::Margin,
         prefix::PrefixChain,
         record::{CallId, RecordCall},
         request::Request,
         ring::Offers,
         share::{RetryBudget, Shares},
-        system::{configuration, credits, limits, liveness, once, placement, request, stream},
+        system::{
+            configuration, credits, hedge, limits, liveness, once, orders, placement, request,
+            stream,
+        },
         table::Table,
         unit::{DurationMs, TimeMs, Tokens},
         verdict::{Cause, Refusal, Verdict},
@@ -80,10 +84,13 @@
     pub(crate) offers: Offers,
     pub(crate) demand: LevelDemand,
     pub(crate) entries: usize,
+    pub(crate) home_hits_permille: u64,
+    pub(crate) margins: Table<ClassId, Margin>,
     pub(crate) shares: Shares,
     pub(crate) shares_looked_at_ms: TimeMs,
     pub(crate) retries: RetryBudget,
     pub(crate) credits: Credits,
+    pub(crate) orders: orders::Orders,
     pub(crate) shutting_down: bool,
     next_attempt: u64,
     next_call: u64,
@@ -111,10 +118,13 @@
             offers: Offers::default(),
             demand: LevelDemand::default(),
             entries: 1,
+            home_hits_permille: 0,
+            margins: Table::default(),
             shares: Shares::default(),
             shares_looked_at_ms: TimeMs::default(),
             retries: RetryBudget::default(),
             credits: Credits::default(),
+            orders: orders::Orders::default(),
             shutting_down: false,
             next_attempt: 0,
             next_call: 0,
@@ -165,7 +175,8 @@
             }
             Event::CallerLeft { request } => request::caller_left(self, request),
             Event::RecordAnswered { call, answer } => {
-                if !credits::answered(self, call, &answer) {
+                if !credits::answered(self, call, &answer) && !orders::answered(self, call, &answer)
+                {
                     once::answered(self, call, answer);
                 }
             }
@@ -173,9 +184,13 @@
                 worker,
                 incarnation,
             } => liveness::probed(self, worker, incarnation),
+            Event::LoadNow(figures) => liveness::load_now(self, figures),
             Event::Load(report) => liveness::load(self, report),
             Event::Cache(report) => liveness::cache(self, &report),
             Event::CacheSnapshot(snapshot) => liveness::cache_snapshot(self, &snapshot),
+            Event::OrderAnswered {
+                fencing, outcome, ..
+            } => orders::order_answered(self, fencing, outcome),
             Event::WorkerLeaving {
                 worker,
                 incarnation,
@@ -193,7 +208,9 @@
         stream::tick(self);
         once::tick(self);
         limits::tick(self);
+        hedge::tick(self);
         credits::tick(self);
+        orders::tick(self);
     }
 
     /// The generation of the configuration in force.
@@ -214,6 +231,25 @@
         self.classes.get(&id)
     }
 
+    /// The declared classes, and those of them for which there is a worker that takes work.
+    #[must_use]
+    pub fn served_classes(&self) -> (usize, usize) {
+        let served = self.classes.iter().filter(|row| self.has_worker(row.1));
+        (self.classes.len(), served.count())
+    }
+
+    fn has_worker(&self, class: &Class) -> bool {
+        let mut workers = self
+            .workers
+            .iter()
+            .map(|row| row.1)
+            .filter(|worker| worker.takes_work());
+        match (class.served_by.model(), class.served_by.service()) {
+            (Some(model), _) => workers.any(|worker| worker.weights(model).is_some()),
+            (_, service) => workers.any(|worker| worker.service == service),
+        }
+    }
+
     /// Requests in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
@@ -243,6 +279,19 @@
         }
     }
 
+    /// The workers whose load was not heard of for `age_ms`, the longest unheard first, `most` at
+    /// the most.
+    #[must_use]
+    pub fn reports_due(&self, now: TimeMs, age_ms: DurationMs, most: usize) -> Vec<WorkerId> {
+        let unheard = self
+            .workers
+            .iter()
+            .map(|(id, worker)| (worker.load_heard_at_ms, *id));
+        let mut due: Vec<_> = unheard.filter(|row| now.since(row.0) >= age_ms).collect();
+        due.sort_unstable();
+        due.into_iter().map(|row| row.1).take(most).collect()
+    }
+
     /// The workers, in the order of their ids.
     pub fn workers(&self) -> impl Iterator<Item = &Worker> {
         self.workers.iter().map(|row| row.1)
--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -4,8 +4,8 @@
     crate::{
         declaration::Configuration,
         id::{
-            AttemptId, CacheSequence, ClassId, CustomerId, DomainId, EntryId, Incarnation, ModelId,
-            PieceHash, RequestId, ServiceId, WeightsVersion, WorkerId,
+            AttemptId, CacheSequence, ClassId, CustomerId, DomainId, EntryId, FencingNumber,
+            Incarnation, ModelId, PieceHash, RequestId, ServiceId, WeightsVersion, WorkerId,
         },
         record::{CallId, RecordAnswer},
         unit::{DurationMs, MicroCredits, TimeMs, Tokens, TokensPerSecond},
@@ -87,6 +87,9 @@
         /// The life that answered; none when nothing did.
         incarnation: Option<Incarnation>,
     },
+    /// A worker has said with an answer how loaded it is.
+    #[from]
+    LoadNow(LoadNow),
     /// A worker has reported its load.
     #[from]
     Load(LoadReport),
@@ -96,6 +99,15 @@
     /// A worker's whole cache was read.
     #[from]
     CacheSnapshot(CacheSnapshot),
+    /// A worker has answered an order, or has not.
+    OrderAnswered {
+        /// The worker.
+        worker: WorkerId,
+        /// The number that the order carried.
+        fencing: FencingNumber,
+        /// What became of it.
+        outcome: OrderOutcome,
+    },
     /// A worker has said itself that it is leaving.
     WorkerLeaving {
         /// The worker.
@@ -134,6 +146,17 @@
     pub body_hash: u64,
 }
 
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderOutcome {
+    /// The worker has taken it.
+    Applied,
+    /// The worker has seen a higher fencing number.
+    Outdated,
+    /// No answer, or an error: it may have been taken.
+    Unknown,
+}
+
 /// How an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Failure {
@@ -174,6 +197,21 @@
     pub cache_pieces: u64,
 }
 
+/// The figures of a load report that change quickly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadNow {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// When the figures were true, by the worker's clock.
+    pub observed_at_ms: TimeMs,
+    /// Prompt tokens that wait to be computed.
+    pub queued_tokens: Tokens,
+    /// Requests that it runs or holds.
+    pub running: u32,
+}
+
 /// Changes of a worker's cache.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheReport {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod event;
 pub mod id;
 pub mod kept;
+pub mod margin;
 pub mod prefix;
 pub mod record;
 pub mod request;
@@ -25,12 +26,12 @@
 pub mod worker;
 
 pub use crate::{
-    command::{Command, Send, Usage},
+    command::{Command, Order, Send, Usage},
     core::{Core, CoreSettings, TICK_MS, TableSizes},
     declaration::{Class, Configuration, CreditGrant, Customer, Declarations, Model, ServedBy},
     event::{
-        Arrival, CacheChange, CacheReport, CacheSnapshot, Event, Failure, LoadReport,
-        RETRY_AFTER_MS, Vm, VmList, VmRole,
+        Arrival, CacheChange, CacheReport, CacheSnapshot, Event, Failure, LoadNow, LoadReport,
+        OrderOutcome, RETRY_AFTER_MS, Vm, VmList, VmRole,
     },
     id::{
         AttemptId, CacheSequence, ClassId, CustomerId, DomainId, EntryId, FencingNumber,
@@ -42,7 +43,7 @@
     },
     record::{
         CallId, LeaseRecord, LedgerRecord, OnceRecord, OnceState, Record, RecordAnswer, RecordCall,
-        RecordKey, Row, RowVersion,
+        RecordKey, Row, RowVersion, WeightLoad,
     },
     table::Table,
     unit::{DurationMs, MicroCredits, TimeMs, Tokens, TokensPerSecond},
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -102,12 +102,18 @@
     pub imported_pieces: usize,
     /// The first pieces that it was to export; zero without an export.
     pub exported_pieces: usize,
+    /// The pieces of the prompt's first level.
+    pub first_pieces: usize,
+    /// The pieces of the prompt's home level, when it was sent to its home; zero otherwise.
+    pub home_pieces: usize,
     /// The first token's predicted time from sending, before its correction.
     pub uncorrected_ms: DurationMs,
     /// The part of the predicted time that is its own work, not waiting.
     pub work_ms: DurationMs,
     /// What a thousand computed tokens cost on the worker.
     pub price: MicroCredits,
+    /// When it was last looked for a quicker worker.
+    pub looked_at_ms: TimeMs,
     /// When the first piece of the answer came.
     pub streaming_since_ms: Option<TimeMs>,
 }
