Trust a ledger's row only while it is fresh or the ledger is out

Change: a row that was seen more than ten seconds ago is trusted for 1/64 of the grant over the number of entry VMs, as one that was never seen; not while the ledger doesn't answer.

--- a/core/src/credit.rs
+++ b/core/src/credit.rs
@@ -78,6 +78,10 @@
     pub grant: CreditGrant,
     /// The ledger's row, once it was seen.
     pub ledger: Option<Ledger>,
+    /// When it was seen last.
+    pub seen_at_ms: TimeMs,
+    /// Whether the last call about it was not answered.
+    pub is_unanswered: bool,
     /// The draw in progress.
     pub draw: Option<Draw>,
     drawn: MicroCredits,
@@ -89,6 +93,8 @@
         Self {
             grant,
             ledger: None,
+            seen_at_ms: TimeMs(0),
+            is_unanswered: false,
             draw: None,
             drawn: MicroCredits(0),
             spent: MicroCredits(0),
@@ -120,12 +126,23 @@
         Some(self.grant.amount_microcredits.saturating_sub(ledger.drawn))
     }
 
-    /// What one of `entries` entry VMs may draw at once, or owe.
+    /// What one of `entries` entry VMs may draw at once.
     #[must_use]
     pub fn part(&self, entries: u64) -> MicroCredits {
-        match self.left() {
-            Some(left) => MicroCredits(left.0.div_ceil(LEFT_PART * entries)),
-            None => MicroCredits(self.grant.amount_microcredits.0 / (UNREAD_PART * entries)),
+        let left = self.left().unwrap_or_default();
+        MicroCredits(left.0.div_ceil(LEFT_PART * entries))
+    }
+
+    /// What one of `entries` entry VMs may owe: little while the row was not seen lately, unless
+    /// the ledger can't be asked.
+    #[must_use]
+    pub fn trust(&self, entries: u64, now: TimeMs) -> MicroCredits {
+        let unread = MicroCredits(self.grant.amount_microcredits.0 / (UNREAD_PART * entries));
+        let is_fresh = now.since(self.seen_at_ms) <= AHEAD_MS;
+        match self.ledger {
+            None => unread,
+            Some(_) if is_fresh || self.is_unanswered => self.part(entries),
+            Some(_) => self.part(entries).min(unread),
         }
     }
 
@@ -144,7 +161,7 @@
         if self.is_lapsed(now) {
             return MicroCredits(0);
         }
-        (self.drawn + self.part(entries)).saturating_sub(self.spent)
+        (self.drawn + self.trust(entries, now)).saturating_sub(self.spent)
     }
 
     /// Spends.
--- a/core/src/system/credits.rs
+++ b/core/src/system/credits.rs
@@ -273,11 +273,15 @@
         return false;
     };
     core.calls.remove(&number);
-    let entries = core.entries as u64;
+    let (entries, now) = (core.entries as u64, core.now);
     let Some(allotment) = allotment(core, customer, &grant) else {
         core.credits.draws.remove(&id);
         return true;
     };
+    allotment.is_unanswered = *answer == RecordAnswer::Unknown;
+    if !allotment.is_unanswered {
+        allotment.seen_at_ms = now;
+    }
     match step(allotment, id, answer, entries) {
         Step::Call => call(core, id),
         Step::Later => {
--- a/core/tests/credits.rs
+++ b/core/tests/credits.rs
@@ -195,6 +195,21 @@
     assert!(ledger.drawn("seed") <= 20_000);
 }
 
+#[test]
+fn what_was_seen_long_ago_is_hardly_trusted() {
+    let mut idle = metered("entry-0", &[("seed", 20_000, HOUR_MS)]);
+    let mut busy = metered("entry-1", &[("seed", 20_000, HOUR_MS)]);
+    let mut ledger = Ledger::default();
+    let mut spent = spend_all(std::slice::from_mut(&mut idle), &mut ledger, 1);
+    spent += spend_all(std::slice::from_mut(&mut busy), &mut ledger, 120);
+    idle.wait(60_000);
+    for number in 0..40 {
+        let commands = idle.arrive(&[text(&format!("burst {number}"), 1_000)]);
+        spent += sent(&commands).map_or(0, |send| finish(&mut idle, send.attempt));
+    }
+    assert!((19_000..=20_000 + 20_000 / 64).contains(&spent), "{spent}");
+}
+
 #[test]
 fn a_lost_answer_draws_once() {
     let mut fleet = metered("entry-0", &[("seed", 20_000, HOUR_MS)]);
