--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -25,7 +25,7 @@
         ring::Offers,
         share::{RetryBudget, Shares},
         system::{
-            configuration, credits, hedge, limits, liveness, once, orders, placement, request,
+            configuration, credits, hedge, learning, limits, liveness, once, orders, request,
             stream,
         },
         table::Table,
@@ -358,7 +358,7 @@
             return;
         };
         self.attempts.remove(&attempt.id);
-        placement::ended(self, &attempt);
+        learning::ended(self, &attempt);
         if let Some(worker) = self.workers.get_mut(&attempt.worker) {
             worker.in_flight = worker.in_flight.saturating_sub(1);
         }
--- a/core/src/system.rs
+++ b/core/src/system.rs
@@ -3,6 +3,8 @@
 pub mod configuration;
 pub mod credits;
 pub mod hedge;
+pub mod home;
+pub mod learning;
 pub mod lease;
 pub mod limits;
 pub mod liveness;
@@ -11,3 +13,4 @@
 pub mod placement;
 pub mod request;
 pub mod stream;
+pub mod usable;
--- a/core/src/system/placement.rs
+++ b/core/src/system/placement.rs
@@ -5,6 +5,10 @@
 //! already hold a part of the prompt, the home, and a few others are compared.
 
 use {
+    super::{
+        home::{self, Home, tokens_of},
+        usable::Usable,
+    },
     crate::{
         cache::Holder,
         core::Core,
@@ -12,8 +16,8 @@
         declaration::{Class, ServedBy},
         event::{Vm, VmList, VmRole},
         id::{Incarnation, ModelId, PieceHash, RequestId, WeightsVersion, WorkerId},
-        prefix::{PIECE_TOKENS, PrefixChain, PrefixScope},
-        request::{Attempt, Expectation, Request},
+        prefix::{PrefixChain, PrefixScope},
+        request::{Expectation, Request},
         ring::{Offer, Pool, Ring},
         unit::{DurationMs, MicroCredits, Tokens},
         worker::Worker,
@@ -29,13 +33,6 @@
 const HOLDERS: usize = 8;
 /// Workers compared at random.
 const RANDOM: usize = 4;
-/// Workers passed over at one place of the ring, because they can't take work.
-const STEPS: usize = COMPARE_ALL;
-/// Workers that share the prompts of one first level at the most.
-const MAX_GROUP: usize = 256;
-const MAX_HOMES: usize = 16;
-/// The level, counted from zero, whose end decides a prompt's home, when it isn't the last.
-const HOME_LEVEL: usize = 1;
 /// What a request that crosses failure domains takes longer.
 const CROSS_DOMAIN_MS: u64 = 1;
 /// The part of the target that a worker may take without being passed over for a quicker one, in
@@ -49,9 +46,6 @@
 const AWAY_WEIGHT: u64 = 1;
 /// How much quicker an import must be than the computation, in thousandths.
 const IMPORT_GAIN_PERMILLE: u64 = 1_200;
-/// The visits within the time that a worker keeps pieces, in thousandths, with which it has them
-/// half of the time.
-const VISITS_FOR_HALF: u64 = 500;
 /// Exports are for at least this many pieces.
 const MIN_EXPORT_PIECES: usize = 4;
 
@@ -106,23 +100,6 @@
     home: Home,
 }
 
-/// Where a prompt belongs.
-#[derive(Clone, Copy, Debug)]
-struct Home {
-    first_level: PieceHash,
-    level: PieceHash,
-    first_pieces: usize,
-    pieces: usize,
-    /// Requests with the first level in a thousand seconds, at all entry VMs together.
-    first_visits: u64,
-    /// The same of the home level.
-    visits: u64,
-    /// The workers that share the prompts of its first level.
-    group: usize,
-    /// The workers that its home level is spread over.
-    spread: usize,
-}
-
 /// The best worker for a request now, if any takes work.
 #[must_use]
 pub fn place(core: &Core, request: RequestId, class: &Class) -> Option<Placement> {
@@ -142,7 +119,7 @@
     } else {
         2 * RANDOM
     };
-    let usable = usable(core, request, &pool.all);
+    let usable = Usable::of(core, request, &pool.all);
     let workers = usable.from(jitter(core, request.id, WorkerId(0)), count);
     let worker = workers.into_iter().min_by_key(|worker| {
         (
@@ -187,7 +164,7 @@
         scope,
         holders: core.cache.holders(&chain, core.now),
         kept_pieces: core.kept.kept(&chain, core.now),
-        home: home(core, &chain, model),
+        home: Home::of(core, &chain, model),
         chain,
     };
     let chosen = choose(core, &prompt, class, pool)?;
@@ -274,11 +251,11 @@
 
 /// The workers to compare, with their places among the workers for the home level.
 fn candidates<'a>(core: &'a Core, prompt: &Prompt<'a>, ring: &'a Ring) -> Vec<(usize, &'a Worker)> {
-    let usable = usable(core, prompt.request, ring);
+    let usable = Usable::of(core, prompt.request, ring);
     if ring.len() <= COMPARE_ALL {
-        return ranked(prompt.home, usable.from(0, ring.len()));
+        return home::ranked(prompt.home, usable.from(0, ring.len()));
     }
-    let mut found = homes(prompt.home, &usable);
+    let mut found = home::on_ring(prompt.home, &usable);
     let mut holders: Vec<&Holder> = prompt.holders.iter().collect();
     holders.sort_by_key(|holder| {
         let jitter = jitter(core, prompt.request.id, holder.worker);
@@ -298,129 +275,6 @@
     found
 }
 
-/// All workers: first those that share the prompts of the first level, in the order of the home
-/// level, then the others in the order of the first level.
-fn ranked(home: Home, mut workers: Vec<&Worker>) -> Vec<(usize, &Worker)> {
-    let hash =
-        |worker: &Worker, level: PieceHash| xxh3_64_with_seed(&worker.id.0.to_le_bytes(), level.0);
-    workers.sort_by_cached_key(|worker| hash(worker, home.first_level));
-    let group = home.group.min(workers.len());
-    workers[..group].sort_by_cached_key(|worker| hash(worker, home.level));
-    workers.into_iter().enumerate().collect()
-}
-
-/// The workers of the home on a large ring: some of the places that the first level has there,
-/// picked by the home level.
-fn homes<'a>(home: Home, usable: &Usable<'a>) -> Vec<(usize, &'a Worker)> {
-    const SPARE: usize = 2;
-    let mut places: Vec<(u64, u64)> = (0..home.group as u64)
-        .map(|place| (xxh3_64_with_seed(&place.to_le_bytes(), home.level.0), place))
-        .collect();
-    let count = (home.spread + SPARE).min(places.len());
-    if count < places.len() {
-        places.select_nth_unstable(count);
-        places.truncate(count);
-    }
-    places.sort_unstable();
-    let mut found: Vec<(usize, &Worker)> = Vec::with_capacity(places.len());
-    for (_, place) in places {
-        let key = xxh3_64_with_seed(&place.to_le_bytes(), home.first_level.0);
-        let position = usable.ring.position(key);
-        let taken = |worker: &Worker| found.iter().any(|one| one.1.id == worker.id);
-        if let Some(worker) = usable.first_but(position, taken) {
-            found.push((found.len(), worker));
-        }
-    }
-    found
-}
-
-/// The workers of a ring that may get a request.
-struct Usable<'a> {
-    core: &'a Core,
-    request: &'a Request,
-    ring: &'a Ring,
-    /// Whether workers that have just failed are left out.
-    preferred: bool,
-}
-
-/// Leaves out workers that have just failed, unless all have.
-fn usable<'a>(core: &'a Core, request: &'a Request, ring: &'a Ring) -> Usable<'a> {
-    let preferred = Usable {
-        core,
-        request,
-        ring,
-        preferred: true,
-    };
-    let any = preferred.first(0).is_some();
-    Usable {
-        preferred: any,
-        ..preferred
-    }
-}
-
-impl<'a> Usable<'a> {
-    fn worker(&self, id: WorkerId) -> Option<&'a Worker> {
-        let worker = self.core.workers.get(&id)?;
-        let fit = if self.preferred {
-            worker.is_preferred(self.core.now)
-        } else {
-            worker.takes_work()
-        };
-        (fit && !self.request.failed_on.contains(&id)).then_some(worker)
-    }
-
-    fn from(&self, position: u64, count: usize) -> Vec<&'a Worker> {
-        self.ring
-            .from(position)
-            .filter_map(|id| self.worker(id))
-            .take(count)
-            .collect()
-    }
-
-    fn first(&self, position: u64) -> Option<&'a Worker> {
-        self.first_but(position, |_| false)
-    }
-
-    fn first_but<F>(&self, position: u64, taken: F) -> Option<&'a Worker>
-    where
-        F: Fn(&Worker) -> bool,
-    {
-        let mut near = self.ring.from(position).take(STEPS);
-        near.find_map(|id| self.worker(id).filter(|worker| !taken(worker)))
-    }
-}
-
-fn home(core: &Core, chain: &PrefixChain, model: ModelId) -> Home {
-    let last = chain.level_ends.len().saturating_sub(2);
-    let first_level = level(chain, 0).unwrap_or(PieceHash(model.0));
-    let home_level = level(chain, HOME_LEVEL.min(last)).unwrap_or(first_level);
-    let group = core.demand.spread(first_level, core.entries, core.now);
-    let spread = core
-        .demand
-        .spread(home_level, core.entries, core.now)
-        .min(MAX_HOMES);
-    Home {
-        first_level,
-        level: home_level,
-        first_pieces: pieces_to(chain, 0),
-        first_visits: core.demand.visits(first_level, core.entries, core.now),
-        visits: core.demand.visits(home_level, core.entries, core.now),
-        pieces: pieces_to(chain, HOME_LEVEL.min(last)),
-        group: group.clamp(spread, MAX_GROUP),
-        spread,
-    }
-}
-
-fn pieces_to(chain: &PrefixChain, level: usize) -> usize {
-    chain.level_ends.get(level).copied().unwrap_or_default()
-}
-
-/// The hash of a prompt up to the last whole piece of a level.
-fn level(chain: &PrefixChain, level: usize) -> Option<PieceHash> {
-    let last = pieces_to(chain, level).checked_sub(1)?;
-    chain.pieces.get(last).copied()
-}
-
 /// The same in every run, different for every request, entry VM and worker.
 fn jitter(core: &Core, request: RequestId, worker: WorkerId) -> u64 {
     let seed = xxh3_64_with_seed(&request.0.to_le_bytes(), core.settings.entry.0);
@@ -441,7 +295,7 @@
         .prompt_tokens
         .saturating_sub(tokens_of(present));
     let uncached_tokens =
-        unknown_tokens.saturating_sub(likely_tokens(core, &prompt.home, rank, worker.id, present));
+        unknown_tokens.saturating_sub(prompt.home.likely_tokens(core, rank, worker.id, present));
     let recompute_ms = worker.prefill_rate().time_for(uncached_tokens);
     let import_ms = if import.0 > 0 {
         worker.import_rate().time_for(import)
@@ -471,38 +325,6 @@
     }
 }
 
-/// The tokens that a worker is likely to have although it isn't known to, since other entry VMs
-/// send prompts with the same levels there.
-fn likely_tokens(
-    core: &Core,
-    home: &Home,
-    rank: usize,
-    worker: WorkerId,
-    present: usize,
-) -> Tokens {
-    if rank >= home.group {
-        return Tokens(0);
-    }
-    let retention_ms = core.cache.retention_ms(worker);
-    let permille = |visits: u64, workers: usize| {
-        let visits = visits.saturating_mul(retention_ms.0) / 1_000 / workers.max(1) as u64;
-        visits * 1_000 / (visits + VISITS_FOR_HALF)
-    };
-    let first_permille = if present < home.first_pieces {
-        permille(home.first_visits, home.group)
-    } else {
-        1_000
-    };
-    let first = tokens_of(home.first_pieces.saturating_sub(present));
-    let first = Tokens(first.0 * first_permille / 1_000);
-    if rank >= home.spread {
-        return first;
-    }
-    let rest = tokens_of(home.pieces.saturating_sub(present.max(home.first_pieces)));
-    let rest_permille = permille(home.visits, home.spread).max(core.home_hits_permille);
-    first + Tokens(rest.0 * first_permille * rest_permille / 1_000_000)
-}
-
 /// The pieces that the worker should have after an import, or zero when it is not worth one.
 fn imported(worker: &Worker, cached_pieces: usize, kept_pieces: usize) -> usize {
     let gained = worker.import_rate().0.saturating_mul(1_000);
@@ -514,10 +336,6 @@
     }
 }
 
-const fn tokens_of(pieces: usize) -> Tokens {
-    Tokens(pieces as u64 * PIECE_TOKENS)
-}
-
 fn finish(core: &Core, prompt: Prompt<'_>, chosen: Prediction) -> Placement {
     let worker = core.workers.get(&chosen.worker);
     let exported_pieces = worker.map_or(0, |worker| exported(core, &prompt, worker));
@@ -565,147 +383,6 @@
     if worth { home.pieces } else { 0 }
 }
 
-/// Notes that a request's attempt was sent: its prompt will be cached there.
-pub fn sent(core: &mut Core, id: RequestId) {
-    let now = core.now;
-    let Some(attempt) = attempt(core, id) else {
-        return;
-    };
-    let Some(scope) = attempt.scope else {
-        return;
-    };
-    let (worker, expected) = (attempt.worker, attempt.expected.clone());
-    core.cache.sent(worker, &expected.chain, now);
-    let share_ms = core.workers.get(&worker).map(Worker::answer_share_ms);
-    let work_ms = expected.work_ms + share_ms.unwrap_or_default();
-    let home = home(core, &expected.chain, scope.model);
-    core.demand.note(home.level, work_ms, core.entries, now);
-    if home.first_level != home.level {
-        core.demand
-            .note(home.first_level, work_ms, core.entries, now);
-    }
-    core.kept
-        .exported(&expected.chain, expected.exported_pieces, now);
-}
-
-/// Learns from what a worker says was cached.
-pub fn accepted(core: &mut Core, id: RequestId, cached_tokens: Tokens) {
-    let now = core.now;
-    note_progress(core, id);
-    let Some(attempt) = attempt(core, id) else {
-        return;
-    };
-    let (worker, expected) = (attempt.worker, attempt.expected.clone());
-    let cached = usize::try_from(cached_tokens.0 / PIECE_TOKENS).unwrap_or(usize::MAX);
-    if cached < expected.imported_pieces {
-        core.kept.missing(&expected.chain, cached);
-    } else if expected.imported_pieces == 0 {
-        let age_ms = expected.cache_age_ms;
-        core.cache
-            .compare(worker, expected.cached_pieces, age_ms, cached);
-    }
-    note_home(core, &expected, cached);
-    core.cache.sent(worker, &expected.chain, now);
-}
-
-/// Learns how often the home has the home level although it isn't known to.
-fn note_home(core: &mut Core, expected: &Expectation, cached: usize) {
-    let known = expected
-        .cached_pieces
-        .max(expected.imported_pieces)
-        .max(expected.first_pieces);
-    let unknown = expected.home_pieces.saturating_sub(known);
-    if unknown == 0 || cached < expected.first_pieces {
-        return;
-    }
-    let found = cached.saturating_sub(known).min(unknown);
-    let permille = found as u64 * 1_000 / unknown as u64;
-    core.home_hits_permille = (core.home_hits_permille * 31 + permille) / 32;
-}
-
-fn note_progress(core: &mut Core, id: RequestId) {
-    let now = core.now;
-    let Some(worker) = attempt(core, id).map(|attempt| attempt.worker) else {
-        return;
-    };
-    if let Some(worker) = core.workers.get_mut(&worker) {
-        worker.progress_at_ms = now;
-    }
-}
-
-/// Learns from the time that the first piece of an answer took. Returns the attempt the first time.
-pub fn first_piece(core: &mut Core, id: RequestId) -> Option<Attempt> {
-    let now = core.now;
-    note_progress(core, id);
-    let attempt = core.requests.get_mut(&id)?.attempt.as_mut()?;
-    if attempt.expected.streaming_since_ms.is_some() {
-        return None;
-    }
-    attempt.expected.streaming_since_ms = Some(now);
-    let observed_ms = now.since(attempt.sent_at_ms);
-    let predicted_ms = attempt.expected.uncorrected_ms;
-    let attempt = attempt.clone();
-    if let Some(worker) = core.workers.get_mut(&attempt.worker) {
-        worker.note_first_token(predicted_ms, observed_ms);
-    }
-    Some(attempt)
-}
-
-/// Learns from an answer that came to its end.
-pub fn answered(core: &mut Core, id: RequestId) {
-    let now = core.now;
-    note_progress(core, id);
-    let Some(attempt) = attempt(core, id) else {
-        return;
-    };
-    let held_ms = match attempt.expected.streaming_since_ms {
-        Some(since_ms) => now.since(since_ms) + attempt.expected.work_ms,
-        None => now.since(attempt.sent_at_ms),
-    };
-    let worker = attempt.worker;
-    if let Some(worker) = core.workers.get_mut(&worker) {
-        worker.note_answer(held_ms);
-    }
-}
-
-/// Learns from an attempt that failed.
-pub fn failed(core: &mut Core, id: RequestId) {
-    let now = core.now;
-    let Some(worker) = attempt(core, id).map(|attempt| attempt.worker) else {
-        return;
-    };
-    if let Some(worker) = core.workers.get_mut(&worker) {
-        worker.note_failure(now);
-    }
-}
-
-/// Takes in that an attempt has ended, however. When its prompt was not computed, it takes back
-/// what was believed of it.
-pub fn ended(core: &mut Core, attempt: &Attempt) {
-    let now = core.now;
-    let expected = &attempt.expected;
-    let computed = expected.streaming_since_ms.is_some();
-    if let Some(worker) = core.workers.get_mut(&attempt.worker) {
-        worker.note_ended(attempt.sent_at_ms, attempt.uncached_tokens);
-        if !computed {
-            worker.take_back(attempt.uncached_tokens, now);
-        }
-    }
-    if computed {
-        return;
-    }
-    let from = expected.cached_pieces;
-    core.cache
-        .forget_tail(attempt.worker, &expected.chain, from);
-    if expected.exported_pieces > 0 {
-        core.kept.missing(&expected.chain, 0);
-    }
-}
-
-fn attempt(core: &Core, id: RequestId) -> Option<&Attempt> {
-    core.requests.get(&id)?.attempt.as_ref()
-}
-
 /// Brings what follows from the list of VMs up to date.
 pub fn listed(core: &mut Core, list: &VmList) {
     let entry = |vm: &&Vm| vm.role == VmRole::Entry && !vm.leaving;
--- a/core/src/system/request.rs
+++ b/core/src/system/request.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        credits, limits, liveness, once,
+        credits, learning, limits, liveness, once,
         placement::{self, Placement},
     },
     crate::{
@@ -186,7 +186,7 @@
         worker.in_flight += 1;
         worker.note_sent(placed.uncached_tokens, now);
     }
-    placement::sent(core, id);
+    learning::sent(core, id);
     limits::sent(core, id);
     credits::reserve(core, id);
     core.emit(Send {
@@ -280,7 +280,7 @@
         once::done(core, attempt, status, body);
         return;
     };
-    placement::answered(core, id);
+    learning::answered(core, id);
     core.forget(id);
     core.emit(Command::Answer {
         request: id,
@@ -304,7 +304,7 @@
     request.verdict = request.verdict.max(verdict);
     let once = request.once.is_some();
     let tries_left = request.attempts_sent < MAX_ATTEMPTS;
-    placement::failed(core, id);
+    learning::failed(core, id);
     core.end_attempt(id);
     if let Some(worker) = worker
         && verdict == Verdict::MayHaveRun
--- a/core/src/system/stream.rs
+++ b/core/src/system/stream.rs
@@ -1,7 +1,7 @@
 //! Puts a model's answer together from the pieces of its attempts, in order and once.
 
 use {
-    super::{limits, liveness, placement, request},
+    super::{learning, limits, liveness, request},
     crate::{
         command::{Command, Usage},
         core::Core,
@@ -46,7 +46,7 @@
     attempt.incarnation = Some(incarnation);
     let worker = attempt.worker;
     liveness::seen_alive(core, worker, incarnation);
-    placement::accepted(core, id, cached_tokens);
+    learning::accepted(core, id, cached_tokens);
 }
 
 /// Takes a piece in. Pieces of other attempts, and what was delivered already, are dropped.
@@ -63,7 +63,7 @@
     if let Some(attempt) = heard(request, now) {
         attempt.streaming = true;
     }
-    if let Some(attempt) = placement::first_piece(core, id) {
+    if let Some(attempt) = learning::first_piece(core, id) {
         limits::first_token(core, id, &attempt);
     }
     let Some((request, _)) = live(core, attempt) else {
@@ -104,7 +104,7 @@
         cost_microcredits: MicroCredits(0),
         attempts: request.attempts_sent,
     };
-    placement::answered(core, id);
+    learning::answered(core, id);
     core.complete(id, usage);
 }
 
