Believe no figure of a report beyond all bounds

A report of 2^64 - 1 queued tokens would have overflowed sums of tokens. Queued tokens and rates are cut at 2^32, predicted times of one step at an hour. Test: figures_out_of_all_bounds_do_no_harm in core/tests/placement.rs.

--- a/core/src/system/placement.rs
+++ b/core/src/system/placement.rs
@@ -296,7 +296,7 @@
         .saturating_sub(tokens_of(present));
     let uncached_tokens =
         unknown_tokens.saturating_sub(prompt.home.likely_tokens(core, rank, worker.id, present));
-    let recompute_ms = worker.prefill_rate().time_for(uncached_tokens);
+    let recompute_ms = worker.prefill_ms(uncached_tokens);
     let import_ms = if import.0 > 0 {
         worker.import_rate().time_for(import)
     } else {
--- a/core/src/worker.rs
+++ b/core/src/worker.rs
@@ -27,6 +27,10 @@
 const MIN_COMPARE_MS: DurationMs = DurationMs(100);
 /// The time between two steps in which corrections fade.
 const FADE_INTERVAL_MS: DurationMs = DurationMs(200);
+/// The largest figure in a report that is believed.
+const MAX_FIGURE: u64 = 1 << 32;
+/// The longest time that is predicted for one step.
+const MAX_TIME_MS: DurationMs = DurationMs(3_600_000);
 const FIRST_BACK_OFF_MS: u64 = 100;
 const MAX_BACK_OFF_MS: u64 = 10_000;
 /// The ratio of one, in thousandths.
@@ -187,6 +191,12 @@
             .unwrap_or(DEFAULT_PREFILL_RATE)
     }
 
+    /// The time in which it computes prompt tokens, an hour at the most.
+    #[must_use]
+    pub fn prefill_ms(&self, tokens: Tokens) -> DurationMs {
+        self.prefill_rate().time_for(tokens).min(MAX_TIME_MS)
+    }
+
     /// How quickly it imports kept pieces; zero when it can't.
     #[must_use]
     pub fn import_rate(&self) -> TokensPerSecond {
@@ -218,8 +228,8 @@
     /// for a slot.
     #[must_use]
     pub fn wait_ms(&self, now: TimeMs) -> DurationMs {
-        let tokens_ms = self.prefill_rate().time_for(self.backlog_at(now));
-        tokens_ms.max(self.slot_wait_ms(now))
+        let tokens_ms = self.prefill_ms(self.backlog_at(now));
+        tokens_ms.max(self.slot_wait_ms(now)).min(MAX_TIME_MS)
     }
 
     fn slot_wait_ms(&self, now: TimeMs) -> DurationMs {
@@ -280,7 +290,10 @@
     }
 
     /// Takes a report in. Work that was sent since it was made is counted on top.
-    pub fn note_load(&mut self, report: LoadReport, now: TimeMs) {
+    pub fn note_load(&mut self, mut report: LoadReport, now: TimeMs) {
+        report.queued_tokens = report.queued_tokens.min(Tokens(MAX_FIGURE));
+        report.prefill_rate = report.prefill_rate.min(TokensPerSecond(MAX_FIGURE));
+        report.import_rate = report.import_rate.min(TokensPerSecond(MAX_FIGURE));
         let earliest = TimeMs(now.0.saturating_sub(MAX_REPORT_AGE_MS.0));
         let observed_at_ms = report.observed_at_ms.clamp(earliest, now);
         self.note_others(&report, observed_at_ms);
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -185,3 +185,25 @@
     assert_ne!(send.worker, holder);
     assert_eq!(send.import.len(), 48);
 }
+
+#[test]
+fn figures_out_of_all_bounds_do_no_harm() {
+    let mut fleet = Fleet::open("entry-0", 3, 1);
+    for number in 0..2 {
+        fleet.report(number, |report| {
+            report.queued_tokens = Tokens(u64::MAX);
+            report.prefill_rate = TokensPerSecond(number as u64 * u64::MAX);
+            report.import_rate = TokensPerSecond(u64::MAX);
+            report.running = u32::MAX;
+            report.slots = 0;
+            report.cache_pieces = u64::MAX;
+        });
+    }
+    let send = fleet.send(&prompt(1, 0));
+    assert_eq!(send.worker, worker(2));
+    fleet.wait(1_000);
+    for number in 0..3 {
+        fleet.report(number, |report| report.queued_tokens = Tokens(u64::MAX));
+    }
+    assert!(sent(&fleet.arrive(&prompt(1, 1))).is_none());
+}
