Notice callers that leave before their first token; keep connections after long answers

Cause: a caller's leaving was noticed only at the next write, so queued work went on; the server library's limit on a request's head runs on during the answer, so a connection closed after any answer of 5 s; a refusal before the body was read could be lost with its connection. Ruled out: Connection: close on streams (each chat would open a connection). Change: answers watch for the caller's disconnection; the limit on heads is 60 s; bodies are read before the first refusal. Answers of over 60 s still cost their connection.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -8,9 +8,10 @@
     },
     bytes::Bytes,
     cactusspur_core::{Arrival, ClassId, CustomerId, Event, Refusal, RequestId, Tokens, Usage},
-    futures::{Stream, StreamExt, channel::mpsc::UnboundedReceiver},
+    futures::{FutureExt, Stream, StreamExt, channel::mpsc::UnboundedReceiver},
     ntex::{
         http::StatusCode,
+        io::{IoRef, OnDisconnect},
         util::Bytes as NtexBytes,
         web::{
             self, HttpRequest, HttpResponse,
@@ -19,6 +20,7 @@
     },
     serde_json::{Value, json},
     std::{
+        future::poll_fn,
         io,
         pin::Pin,
         sync::Arc,
@@ -68,13 +70,13 @@
 }
 
 async fn chat(request: HttpRequest, payload: Payload, state: State<CallersState>) -> HttpResponse {
-    let Some(customer) = customer(&request, &state.driver) else {
-        return unauthorized();
-    };
     let body = match read_body(payload, state.max_body_bytes).await {
         Ok(body) => body,
         Err(response) => return response,
     };
+    let Some(customer) = customer(&request, &state.driver) else {
+        return unauthorized();
+    };
     let chat = match ChatRequest::parse(&body) {
         Ok(chat) => chat,
         Err(problem) => return HttpResponse::BadRequest().json(&openai::field_body(&problem)),
@@ -84,14 +86,16 @@
         Err(problem) => return HttpResponse::BadRequest().json(&openai::field_body(&problem)),
     };
     let class = ClassId::of(&chat.model);
-    let answered = Answered::arrive(&state.driver, customer, &body, None, |request| Arrival {
-        request,
-        customer,
-        class,
-        levels,
-        max_answer_tokens: chat.answer_limit(Tokens(u64::MAX)),
-        once_key: None,
-        body_hash: xxh3_64(&body),
+    let answered = Answered::arrive(&state.driver, &request, customer, &body, None, |request| {
+        Arrival {
+            request,
+            customer,
+            class,
+            levels,
+            max_answer_tokens: chat.answer_limit(Tokens(u64::MAX)),
+            once_key: None,
+            body_hash: xxh3_64(&body),
+        }
     });
     let head = AnswerHead {
         id: format!("chatcmpl-{:016x}-{}", state.incarnation, answered.request),
@@ -112,6 +116,10 @@
     payload: Payload,
     state: State<CallersState>,
 ) -> HttpResponse {
+    let body = match read_body(payload, state.max_body_bytes).await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
     let Some(customer) = customer(&request, &state.driver) else {
         return unauthorized();
     };
@@ -129,13 +137,14 @@
         );
         return HttpResponse::BadRequest().json(&body);
     }
-    let body = match read_body(payload, state.max_body_bytes).await {
-        Ok(body) => body,
-        Err(response) => return response,
-    };
     let key = once_key.clone();
-    let mut answered = Answered::arrive(&state.driver, customer, &body, once_key, |request| {
-        Arrival {
+    let mut answered = Answered::arrive(
+        &state.driver,
+        &request,
+        customer,
+        &body,
+        once_key,
+        |request| Arrival {
             request,
             customer,
             class: ClassId::of(&class),
@@ -143,9 +152,9 @@
             max_answer_tokens: Tokens(0),
             once_key: key,
             body_hash: xxh3_64(&body),
-        }
-    });
-    match answered.events.next().await {
+        },
+    );
+    match answered.next_event().await {
         Some(CallerEvent::Answer {
             status,
             body,
@@ -167,11 +176,13 @@
     driver: Arc<Driver>,
     request: RequestId,
     events: UnboundedReceiver<CallerEvent>,
+    disconnected: Option<OnDisconnect>,
 }
 
 impl Answered {
     fn arrive<F>(
         driver: &Arc<Driver>,
+        http: &HttpRequest,
         customer: CustomerId,
         body: &Bytes,
         once_key: Option<String>,
@@ -190,6 +201,22 @@
             driver: Arc::clone(driver),
             request,
             events,
+            disconnected: http.io().map(IoRef::on_disconnect),
+        }
+    }
+
+    /// The next event; none when the caller has gone.
+    async fn next_event(&mut self) -> Option<CallerEvent> {
+        poll_fn(|context| self.poll_event(context)).await
+    }
+
+    fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<Option<CallerEvent>> {
+        if let Poll::Ready(event) = self.events.poll_next_unpin(context) {
+            return Poll::Ready(event);
+        }
+        match &mut self.disconnected {
+            Some(disconnected) => disconnected.poll_unpin(context).map(|()| None),
+            None => Poll::Pending,
         }
     }
 }
@@ -202,7 +229,7 @@
 
 async fn whole(mut answered: Answered, head: &AnswerHead) -> HttpResponse {
     let mut text: Vec<u8> = Vec::new();
-    while let Some(event) = answered.events.next().await {
+    while let Some(event) = answered.next_event().await {
         match event {
             CallerEvent::Text(piece) => text.extend_from_slice(&piece),
             CallerEvent::Complete(usage) => {
@@ -217,7 +244,7 @@
 }
 
 async fn streamed(mut answered: Answered, head: AnswerHead, include_usage: bool) -> HttpResponse {
-    let first = match answered.events.next().await {
+    let first = match answered.next_event().await {
         Some(CallerEvent::Refused(refusal)) => return refused(&refusal),
         Some(event) => event,
         None => return HttpResponse::InternalServerError().finish(),
@@ -259,7 +286,7 @@
         if this.ended {
             return Poll::Ready(None);
         }
-        let Poll::Ready(event) = this.answered.events.poll_next_unpin(context) else {
+        let Poll::Ready(event) = this.answered.poll_event(context) else {
             return Poll::Pending;
         };
         let Some(event) = event else {
@@ -336,6 +363,8 @@
     driver.customer(value.strip_prefix("Bearer ")?)
 }
 
+/// Reads a body. That comes before any refusal: an answer to a request that wasn't read may be lost
+/// with its connection.
 async fn read_body(mut payload: Payload, max_body_bytes: usize) -> Result<Bytes, HttpResponse> {
     let mut body: Vec<u8> = Vec::new();
     while let Some(chunk) = payload.next().await {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -41,8 +41,11 @@
 const MAX_OPERATOR_CONNECTIONS: usize = 64;
 /// How long a connection may be idle between two requests.
 const KEEP_ALIVE: Seconds = Seconds(75);
-/// How long a request's head may take, and how long its body may pause.
-const FIRST_HEAD_LIMIT: Seconds = Seconds(5);
+/// How long a request's head may take. The server library lets the same time run on while it
+/// answers and closes the connection after a longer answer, so it is not short.
+const HEAD_LIMIT: Seconds = Seconds(60);
+/// How long a request's body may pause.
+const PAUSE_LIMIT: Seconds = Seconds(5);
 /// How long a request may take to arrive in all.
 const READ_LIMIT: Seconds = Seconds(30);
 /// The least rate at which a request has to arrive, in bytes a second.
@@ -207,9 +210,9 @@
     let http = HttpServiceConfig::new()
         .set_max_headers(MAX_HEADERS)
         .set_keepalive(KEEP_ALIVE)
-        .set_client_timeout(FIRST_HEAD_LIMIT)
-        .set_headers_read_rate(FIRST_HEAD_LIMIT, READ_LIMIT, MIN_READ_RATE_BYTES_PER_S)
-        .set_payload_read_rate(FIRST_HEAD_LIMIT, READ_LIMIT, MIN_READ_RATE_BYTES_PER_S);
+        .set_client_timeout(HEAD_LIMIT)
+        .set_headers_read_rate(HEAD_LIMIT, HEAD_LIMIT, MIN_READ_RATE_BYTES_PER_S)
+        .set_payload_read_rate(PAUSE_LIMIT, READ_LIMIT, MIN_READ_RATE_BYTES_PER_S);
     SharedCfg::new(tag).add(http).into()
 }
 
--- a/standins/tests/system/caller.rs
+++ b/standins/tests/system/caller.rs
@@ -218,3 +218,11 @@
     let sent = cluster.client().get(url).send().await;
     sent.is_ok_and(|response| response.status().is_success())
 }
+
+/// The requests that an entry VM has in progress.
+pub async fn in_progress(cluster: &Cluster, entry: usize) -> Option<u64> {
+    let url = format!("http://{}/status", cluster.operator_addresses()[entry]);
+    let response = cluster.client().get(url).send().await.ok()?;
+    let status: Value = response.json().await.ok()?;
+    status["in_progress"].as_u64()
+}
