Take the watch for callers' disconnections out again

Ruled out: a gap between two tokens, which the next token or the silence limit ends. Change: the watch is gone; the test, the limit on heads and the order of body and refusal stay.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -8,10 +8,9 @@
     },
     bytes::Bytes,
     cactusspur_core::{Arrival, ClassId, CustomerId, Event, Refusal, RequestId, Tokens, Usage},
-    futures::{FutureExt, Stream, StreamExt, channel::mpsc::UnboundedReceiver},
+    futures::{Stream, StreamExt, channel::mpsc::UnboundedReceiver},
     ntex::{
         http::StatusCode,
-        io::{IoRef, OnDisconnect},
         util::Bytes as NtexBytes,
         web::{
             self, HttpRequest, HttpResponse,
@@ -20,7 +19,6 @@
     },
     serde_json::{Value, json},
     std::{
-        future::poll_fn,
         io,
         pin::Pin,
         sync::Arc,
@@ -86,16 +84,14 @@
         Err(problem) => return HttpResponse::BadRequest().json(&openai::field_body(&problem)),
     };
     let class = ClassId::of(&chat.model);
-    let answered = Answered::arrive(&state.driver, &request, customer, &body, None, |request| {
-        Arrival {
-            request,
-            customer,
-            class,
-            levels,
-            max_answer_tokens: chat.answer_limit(Tokens(u64::MAX)),
-            once_key: None,
-            body_hash: xxh3_64(&body),
-        }
+    let answered = Answered::arrive(&state.driver, customer, &body, None, |request| Arrival {
+        request,
+        customer,
+        class,
+        levels,
+        max_answer_tokens: chat.answer_limit(Tokens(u64::MAX)),
+        once_key: None,
+        body_hash: xxh3_64(&body),
     });
     let head = AnswerHead {
         id: format!("chatcmpl-{:016x}-{}", state.incarnation, answered.request),
@@ -138,13 +134,8 @@
         return HttpResponse::BadRequest().json(&body);
     }
     let key = once_key.clone();
-    let mut answered = Answered::arrive(
-        &state.driver,
-        &request,
-        customer,
-        &body,
-        once_key,
-        |request| Arrival {
+    let mut answered = Answered::arrive(&state.driver, customer, &body, once_key, |request| {
+        Arrival {
             request,
             customer,
             class: ClassId::of(&class),
@@ -152,9 +143,9 @@
             max_answer_tokens: Tokens(0),
             once_key: key,
             body_hash: xxh3_64(&body),
-        },
-    );
-    match answered.next_event().await {
+        }
+    });
+    match answered.events.next().await {
         Some(CallerEvent::Answer {
             status,
             body,
@@ -176,13 +167,11 @@
     driver: Arc<Driver>,
     request: RequestId,
     events: UnboundedReceiver<CallerEvent>,
-    disconnected: Option<OnDisconnect>,
 }
 
 impl Answered {
     fn arrive<F>(
         driver: &Arc<Driver>,
-        http: &HttpRequest,
         customer: CustomerId,
         body: &Bytes,
         once_key: Option<String>,
@@ -201,22 +190,6 @@
             driver: Arc::clone(driver),
             request,
             events,
-            disconnected: http.io().map(IoRef::on_disconnect),
-        }
-    }
-
-    /// The next event; none when the caller has gone.
-    async fn next_event(&mut self) -> Option<CallerEvent> {
-        poll_fn(|context| self.poll_event(context)).await
-    }
-
-    fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<Option<CallerEvent>> {
-        if let Poll::Ready(event) = self.events.poll_next_unpin(context) {
-            return Poll::Ready(event);
-        }
-        match &mut self.disconnected {
-            Some(disconnected) => disconnected.poll_unpin(context).map(|()| None),
-            None => Poll::Pending,
         }
     }
 }
@@ -229,7 +202,7 @@
 
 async fn whole(mut answered: Answered, head: &AnswerHead) -> HttpResponse {
     let mut text: Vec<u8> = Vec::new();
-    while let Some(event) = answered.next_event().await {
+    while let Some(event) = answered.events.next().await {
         match event {
             CallerEvent::Text(piece) => text.extend_from_slice(&piece),
             CallerEvent::Complete(usage) => {
@@ -244,7 +217,7 @@
 }
 
 async fn streamed(mut answered: Answered, head: AnswerHead, include_usage: bool) -> HttpResponse {
-    let first = match answered.next_event().await {
+    let first = match answered.events.next().await {
         Some(CallerEvent::Refused(refusal)) => return refused(&refusal),
         Some(event) => event,
         None => return HttpResponse::InternalServerError().finish(),
@@ -286,7 +259,7 @@
         if this.ended {
             return Poll::Ready(None);
         }
-        let Poll::Ready(event) = this.answered.poll_event(context) else {
+        let Poll::Ready(event) = this.answered.events.poll_next_unpin(context) else {
             return Poll::Pending;
         };
         let Some(event) = event else {
