--- a/src/operator/apply.rs
+++ b/src/operator/apply.rs
@@ -8,7 +8,7 @@
         platform::Platform,
         timer::now,
     },
-    cactusspur_core::{Configuration, Declarations, Generation, TimeMs},
+    cactusspur_core::{Declarations, Generation, TimeMs},
     error_stack::Report,
     serde::Serialize,
     std::io,
@@ -63,11 +63,22 @@
     W: io::Write,
 {
     let declarations = read_declarations(&arguments.file)?;
+    let log = ConfigurationLog::open(Platform::open(arguments.platform).await);
+    if let Some(change_id) = &arguments.change_id
+        && let Some(own) = own_change(&log, change_id, &hash_of(&declarations)).await?
+    {
+        let outcome = Outcome::Accepted {
+            generation: own.generation,
+            change_id: own.change_id,
+            changes: own.summary,
+        };
+        format.print(out, &outcome, describe)?;
+        return Ok(ExitStatus::Done);
+    }
     let change_id = match &arguments.change_id {
         Some(change_id) => change_id.clone(),
         None => format!("{:032x}", rand::random::<u128>()),
     };
-    let log = ConfigurationLog::open(Platform::open(arguments.platform).await);
     let based_on = arguments.based_on.map(Generation);
     let applied = apply(&log, declarations, based_on, change_id.clone()).await;
     let outcome = applied.map_err(|report| name_change(report, &change_id))?;
@@ -97,14 +108,6 @@
     S: Store,
 {
     let newest = log.newest().await?;
-    let hash = hash_of(&declarations);
-    if let Some(own) = own_change(log, &newest, &change_id, &hash).await? {
-        return Ok(Outcome::Accepted {
-            generation: own.generation,
-            change_id,
-            changes: own.summary,
-        });
-    }
     let based_on = based_on.unwrap_or(newest.generation);
     if based_on != newest.generation {
         return conflict(log, based_on, newest.generation).await;
@@ -131,15 +134,15 @@
 /// The record of this very change, when an earlier run of the command was accepted.
 async fn own_change<S>(
     log: &ConfigurationLog<S>,
-    newest: &Configuration,
     change_id: &str,
     hash: &str,
 ) -> Result<Option<ChangeRecord>, Report<LogError>>
 where
     S: Store,
 {
-    let oldest = newest.generation.0.saturating_sub(MAX_LOOK_BACK);
-    for generation in (oldest + 1..=newest.generation.0).rev() {
+    let newest = log.newest().await?.generation.0;
+    let oldest = newest.saturating_sub(MAX_LOOK_BACK);
+    for generation in (oldest + 1..=newest).rev() {
         let Some(record) = log.record(Generation(generation)).await? else {
             return Ok(None);
         };
