Fuzz ticks before messages, and orders after the end of a term

Broken builds showed two blind spots: a key that stays blocked by a late bind was caught by fixed sequences alone, since messages always came before the tick, and so was a holder that keeps no time, since outdated orders are excused at the engine. The oracle now looks at what the table says when an order is given.

--- a/core/tests/fuzz/world.rs
+++ b/core/tests/fuzz/world.rs
@@ -121,6 +121,11 @@
     }
 }
 
+/// The incarnation of an entry VM's process.
+fn incarnation(node: usize, life: u64) -> u64 {
+    life * 10 + node as u64
+}
+
 fn dispatch() -> ClassId {
     ClassId::of(DISPATCH)
 }
@@ -267,11 +272,21 @@
             for worker in &mut self.workers {
                 worker.load(self.now);
             }
+            let ticks_first = self.draw(4) == 0;
+            if ticks_first {
+                self.tick_all();
+            }
             self.deliver_due();
-            for node in 0..NODES {
-                if self.nodes[node].paused_until <= self.now {
-                    self.handle(node, Event::Tick);
-                }
+            if !ticks_first {
+                self.tick_all();
+            }
+        }
+    }
+
+    fn tick_all(&mut self) {
+        for node in 0..NODES {
+            if self.nodes[node].paused_until <= self.now {
+                self.handle(node, Event::Tick);
             }
         }
     }
@@ -436,6 +451,7 @@
                 fencing,
                 order: Order::Load(model),
             } => {
+                self.check_order(node, fencing);
                 let weights = model.weights_version;
                 let order = Parcel::Order {
                     worker,
@@ -496,7 +512,7 @@
     fn open(node: usize, life: u64) -> Self {
         let (name, domain) = [("entry-a", "a"), ("entry-b", "b"), ("entry-c", "c")][node];
         Self {
-            core: common::core(name, domain, life * 10 + node as u64),
+            core: common::core(name, domain, incarnation(node, life)),
             shutting_down: false,
             life,
             paused_until: TimeMs(0),
--- a/core/tests/fuzz/world/checks.rs
+++ b/core/tests/fuzz/world/checks.rs
@@ -1,15 +1,15 @@
 //! What must hold after each step, and once all faults are mended.
 
 use {
-    super::{HEAL_MS, LEAVING_LIMIT_MS, NODES, Node, WORKERS, World, dispatch},
+    super::{HEAL_MS, LEAVING_LIMIT_MS, NODES, Node, WORKERS, World, dispatch, incarnation},
     crate::{
         common::{self, CUSTOMERS},
         oracle::{Ask, Last},
         table::TableMode,
     },
     cactusspur_core::{
-        Cause, PIECE_TOKENS, PieceHash, PrefixChain, PrefixScope, Record, RecordKey, RequestId,
-        Send, TimeMs,
+        Cause, FencingNumber, PIECE_TOKENS, PieceHash, PrefixChain, PrefixScope, Record, RecordKey,
+        RequestId, Row, Send, TimeMs,
     },
 };
 
@@ -51,6 +51,16 @@
         }
     }
 
+    /// Nobody gives an order when another has followed it as the holder of the lease.
+    pub(super) fn check_order(&self, node: usize, fencing: FencingNumber) {
+        let row = self.table.row(&RecordKey::Lease("orders".into()));
+        let Some((_, lease)) = row.cloned().and_then(Row::into_lease) else {
+            panic!("an order without a lease");
+        };
+        let own = lease.holder_incarnation == incarnation(node, self.nodes[node].life);
+        assert!(own || lease.fencing < fencing, "an order after the term");
+    }
+
     /// What a core believes to be cached must have been computed by, or sent to, that life.
     pub(super) fn check_beliefs(&self, node: &Node) {
         let declared = &node.core.configuration().declarations.models[0];
