--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -25,7 +25,8 @@
         ring::Offers,
         share::{RetryBudget, Shares},
         system::{
-            configuration, credits, limits, liveness, once, orders, placement, request, stream,
+            configuration, credits, hedge, learning, limits, liveness, once, orders, request,
+            stream,
         },
         table::Table,
         unit::{DurationMs, TimeMs, Tokens},
@@ -207,6 +208,7 @@
         stream::tick(self);
         once::tick(self);
         limits::tick(self);
+        hedge::tick(self);
         credits::tick(self);
         orders::tick(self);
     }
@@ -229,6 +231,25 @@
         self.classes.get(&id)
     }
 
+    /// The declared classes, and those of them for which there is a worker that takes work.
+    #[must_use]
+    pub fn served_classes(&self) -> (usize, usize) {
+        let served = self.classes.iter().filter(|row| self.has_worker(row.1));
+        (self.classes.len(), served.count())
+    }
+
+    fn has_worker(&self, class: &Class) -> bool {
+        let mut workers = self
+            .workers
+            .iter()
+            .map(|row| row.1)
+            .filter(|worker| worker.takes_work());
+        match (class.served_by.model(), class.served_by.service()) {
+            (Some(model), _) => workers.any(|worker| worker.weights(model).is_some()),
+            (_, service) => workers.any(|worker| worker.service == service),
+        }
+    }
+
     /// Requests in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
@@ -337,7 +358,7 @@
             return;
         };
         self.attempts.remove(&attempt.id);
-        placement::ended(self, &attempt);
+        learning::ended(self, &attempt);
         if let Some(worker) = self.workers.get_mut(&attempt.worker) {
             worker.in_flight = worker.in_flight.saturating_sub(1);
         }
--- a/core/src/system.rs
+++ b/core/src/system.rs
@@ -2,6 +2,9 @@
 
 pub mod configuration;
 pub mod credits;
+pub mod hedge;
+pub mod home;
+pub mod learning;
 pub mod lease;
 pub mod limits;
 pub mod liveness;
@@ -10,3 +13,4 @@
 pub mod placement;
 pub mod request;
 pub mod stream;
+pub mod usable;
