Count credits that lapse unused from what answers cost

Change: spent is what the answers to requests sent before the lapse cost, up to the grant; draws are shown beside it.

--- a/standins/src/load/measure.rs
+++ b/standins/src/load/measure.rs
@@ -10,6 +10,7 @@
         unbounded::PromptTokens,
         workload::ClassShape,
     },
+    derive_more::Display,
     hdrhistogram::Histogram,
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -122,6 +123,21 @@
     pub cached_tokens: u64,
 }
 
+/// What became of credits that lapsed, of all customers together, in microcredits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[display(
+    "{unused_microcredits} of {granted_microcredits} microcredits lapsed unused, \
+     {drawn_microcredits} were drawn"
+)]
+pub struct Lapsed {
+    /// Granted.
+    pub granted_microcredits: u64,
+    /// Drawn from the ledger.
+    pub drawn_microcredits: u64,
+    /// Not spent on answers to requests that were sent before they lapsed.
+    pub unused_microcredits: u64,
+}
+
 /// One run of one policy.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RunRecord {
@@ -136,8 +152,8 @@
     /// How long after the fault the share of chats that meet their target was back within a tenth
     /// of that before, in seconds; none without a fault or when it was not back in the run.
     pub recovered_after_s: Option<u64>,
-    /// Granted microcredits that lapsed without being spent; none when no grant lapsed.
-    pub lapsed_unused_microcredits: Option<u64>,
+    /// What became of credits that lapsed; none when none did.
+    pub lapsed: Option<Lapsed>,
     /// What the engines have done in all, also for attempts that no caller had an answer of.
     pub engines: EngineTotals,
     /// Times of the first tokens of all chats, sorted, in microseconds.
@@ -178,7 +194,7 @@
             figures,
             seconds,
             recovered_after_s,
-            lapsed_unused_microcredits: None,
+            lapsed: None,
             engines: EngineTotals::default(),
             first_tokens_us: self.first_tokens(),
         }
@@ -238,6 +254,19 @@
             .filter(|at| self.class(*at).service.is_none())
     }
 
+    /// What each customer's answers cost of the requests that were sent before a time, in
+    /// microcredits.
+    #[must_use]
+    pub fn spent_before(&self, at_us: u64) -> Vec<u64> {
+        let mut spent = vec![0; self.schedule.workload.customers().len()];
+        for (request, outcome) in self.schedule.requests.iter().zip(self.outcomes) {
+            if request.at_us < at_us {
+                spent[request.customer] += cost_microcredits(outcome);
+            }
+        }
+        spent
+    }
+
     fn first_tokens(&self) -> FirstTokens {
         let mut times: FirstTokens = self
             .chats()
@@ -280,16 +309,21 @@
         let Some(prompt) = outcome.prompt else {
             return;
         };
-        let computed = prompt.prompt.saturating_sub(prompt.cached) + outcome.answer_tokens;
         self.prompt_tokens += prompt.prompt;
         self.cached_tokens += prompt.cached;
         self.unbounded_tokens += unbounded.cached;
         self.recomputed_tokens += unbounded.cached.saturating_sub(prompt.cached);
         self.answer_tokens += outcome.answer_tokens;
-        self.cost_microcredits += computed * PRICE_MICROCREDITS / TOKENS_PER_PRICE;
+        self.cost_microcredits += cost_microcredits(outcome);
     }
 }
 
+fn cost_microcredits(outcome: &Outcome) -> u64 {
+    let prompt = outcome.prompt.unwrap_or_default();
+    let computed = prompt.prompt.saturating_sub(prompt.cached) + outcome.answer_tokens;
+    computed * PRICE_MICROCREDITS / TOKENS_PER_PRICE
+}
+
 /// An empty histogram of microseconds, up to more than a request may take.
 pub(crate) fn histogram() -> Histogram<u64> {
     Histogram::new_with_bounds(1, LONGEST_US, SIGNIFICANT_DIGITS)
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -193,12 +193,8 @@
                     run.policy, run.repeat
                 )?;
             }
-            if let Some(lapsed) = run.lapsed_unused_microcredits {
-                writeln!(
-                    out,
-                    "{} run {} lapsed unused: {lapsed} microcredits",
-                    run.policy, run.repeat
-                )?;
+            if let Some(lapsed) = run.lapsed {
+                writeln!(out, "{} run {} credits: {lapsed}", run.policy, run.repeat)?;
             }
         }
         Ok(())
--- a/standins/src/load/run.rs
+++ b/standins/src/load/run.rs
@@ -5,7 +5,7 @@
         call::{Intended, REQUEST_TIMEOUT},
         cluster::{Cluster, ClusterError, ClusterPlan},
         engine_shape::EngineShape,
-        measure::{Observed, RunRecord},
+        measure::{Lapsed, Observed, RunRecord},
         number::{float, micros_of},
         outcome::{End, Outcome},
         policy::Policy,
@@ -14,7 +14,7 @@
         schedule::{Plan, Schedule},
         sender::{Addresses, Sender},
         unbounded::{PromptTokens, unbounded},
-        workload::Workload,
+        workload::{Workload, part_of},
     },
     cactusspur_core::MicroCredits,
     error_stack::Report,
@@ -195,17 +195,35 @@
         };
         let mut record = observed.record(policy, repeat);
         record.engines = cluster.engine_totals().await;
-        record.lapsed_unused_microcredits = self.lapsed(&cluster, &plan, policy).await;
+        if policy.uses_entries() {
+            record.lapsed = self.lapsed(&cluster, &plan, &observed).await;
+        }
         Ok(record)
     }
 
-    async fn lapsed(&self, cluster: &Cluster, plan: &ClusterPlan, policy: Policy) -> Option<u64> {
-        let (amount, _) = plan.lapsing?;
-        if !policy.uses_entries() {
-            return None;
+    async fn lapsed(
+        &self,
+        cluster: &Cluster,
+        plan: &ClusterPlan,
+        observed: &Observed<'_>,
+    ) -> Option<Lapsed> {
+        let (amount, after) = plan.lapsing?;
+        let drawn_microcredits = cluster.lapsing_drawn().await?;
+        let spent = observed.spent_before(micros_of(after));
+        let granted = self
+            .workload
+            .customers()
+            .iter()
+            .map(|customer| part_of(amount.0, customer.share));
+        let mut lapsed = Lapsed {
+            drawn_microcredits,
+            ..Lapsed::default()
+        };
+        for (granted, spent) in granted.zip(spent) {
+            lapsed.granted_microcredits += granted;
+            lapsed.unused_microcredits += granted.saturating_sub(spent);
         }
-        let drawn = cluster.lapsing_drawn().await?;
-        Some(amount.0.saturating_sub(drawn))
+        Some(lapsed)
     }
 }
 
--- a/standins/src/load/workload.rs
+++ b/standins/src/load/workload.rs
@@ -252,9 +252,15 @@
     format!("KEY-{customer}")
 }
 
+/// The part of an amount for all customers that one with this share gets.
+#[must_use]
+pub fn part_of(amount: u64, share: u32) -> u64 {
+    amount / SHARE_WHOLE * u64::from(share)
+}
+
 fn declared_customer(customer: CustomerShape, grants: &[CreditGrant]) -> Customer {
     let part = |grant: &CreditGrant| {
-        let amount = grant.amount_microcredits.0 / SHARE_WHOLE * u64::from(customer.share);
+        let amount = part_of(grant.amount_microcredits.0, customer.share);
         CreditGrant {
             amount_microcredits: MicroCredits(amount),
             ..grant.clone()
--- a/standins/tests/load.rs
+++ b/standins/tests/load.rs
@@ -248,6 +248,8 @@
     assert_eq!(all.unbounded_tokens, 8 * PIECE_TOKENS);
     let computed = 9 * PIECE_TOKENS + 3 * 10 + 3 * 4;
     assert_eq!(all.cost_microcredits, computed);
+    assert_eq!(observed.spent_before(1)[0], computed);
+    assert_eq!(observed.spent_before(0), [0; CUSTOMERS]);
 }
 
 #[test]
