Measure met targets under overload by work, not by count

Nearly all ring-descriptions (1036 of 1039), which hold a slot for twice as long, and 1700 of 4259 design-checks were served, so the served mix is not the one that the capacity was computed for. Change: a chat's work is its slot and prefill time with an unbounded cache; the goal compares the work that met its target with the engines' slots and prefill. The count stays in the table.

--- a/standins/src/load/engine_shape.rs
+++ b/standins/src/load/engine_shape.rs
@@ -1,10 +1,14 @@
 //! How the engines of a workload behave, and how much they can serve.
 
-use crate::load::{
-    number::{float, ratio},
-    schedule::Schedule,
-    unbounded::PromptTokens,
-    workload::Workload,
+use {
+    crate::load::{
+        number::{MICROS_PER_MS, MICROS_PER_SECOND, float, ratio},
+        schedule::Schedule,
+        unbounded::PromptTokens,
+        workload::Workload,
+    },
+    derive_more::{Add, AddAssign, Sum},
+    serde::{Deserialize, Serialize},
 };
 
 /// The engines of a cluster.
@@ -27,7 +31,41 @@
     pub cache_pieces: u64,
 }
 
+/// What a chat takes of an engine when only what an unbounded cache would not have had of its
+/// prompt is computed, in microseconds.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Add, AddAssign, Sum, Serialize, Deserialize,
+)]
+pub struct Work {
+    /// Of its prefill.
+    pub prefill_us: u64,
+    /// Of one of its slots.
+    pub slot_us: u64,
+}
+
 impl EngineShape {
+    /// The work of a chat.
+    #[must_use]
+    pub fn work(self, tokens: PromptTokens, answer_tokens: u64) -> Work {
+        let computed = tokens.prompt.saturating_sub(tokens.cached);
+        let prefill_us = computed * MICROS_PER_SECOND / self.prefill_rate.max(1);
+        let decode_us = answer_tokens * self.decode_interval_ms * MICROS_PER_MS;
+        Work {
+            prefill_us,
+            slot_us: prefill_us + decode_us,
+        }
+    }
+
+    /// The share that some work has of what all engines can do in a time, by what they have less
+    /// of: slots or prefill.
+    #[must_use]
+    pub fn load_of(self, work: Work, seconds: u64) -> f64 {
+        let engine_us = ENGINES as u64 * seconds * MICROS_PER_SECOND;
+        let by_prefill = ratio(work.prefill_us, engine_us);
+        let by_slots = ratio(work.slot_us, engine_us * self.slots);
+        by_prefill.max(by_slots)
+    }
+
     /// The engines of a workload.
     #[must_use]
     pub const fn of(workload: Workload) -> Self {
--- a/standins/src/load/goal.rs
+++ b/standins/src/load/goal.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::load::{
-        measure::{ALL_CHATS, COLUMNS},
-        number::float,
+        engine_shape::{EngineShape, Work},
+        measure::{ALL_CHATS, COLUMNS, Figures, Spread},
         policy::Policy,
         report::Report,
     },
@@ -86,15 +86,21 @@
         }
     }
 
-    /// The work that met its target, of what was asked for or could be served.
+    /// The work that met its target, of what was asked for or could be done.
     fn met_target(&self) -> Standing {
-        let own = self.own("met target") / float(self.seconds.max(1));
-        let reference = self.capacity_per_s.min(self.rate_per_s);
+        let shape = EngineShape::of(self.workload);
+        let load_of = |work: fn(&Figures) -> Work| {
+            let figures = self.figures_of(Policy::Cactusspur, ALL_CHATS);
+            let loads = figures.map(|row| shape.load_of(work(row), self.seconds));
+            Spread::of(loads.collect()).median
+        };
+        let own = load_of(|figures| figures.met_work);
+        let reference = load_of(|figures| figures.asked_work).min(1.0);
         Standing {
-            figure: "met target per second",
+            figure: "work that met its target, of capacity",
             own,
             reference,
-            of: "the lesser of rate and capacity".to_owned(),
+            of: "the lesser of asked and capacity".to_owned(),
             standing: own / reference.max(f64::MIN_POSITIVE),
             goal: "at least 0.9 (overload)",
         }
--- a/standins/src/load/measure.rs
+++ b/standins/src/load/measure.rs
@@ -3,6 +3,7 @@
 use {
     crate::load::{
         cluster::EngineTotals,
+        engine_shape::{EngineShape, Work},
         number::{float, micros_of, millis, ratio},
         outcome::{End, Outcome},
         policy::Policy,
@@ -93,6 +94,10 @@
     pub between_tokens: Percentiles,
     /// Whole answers whose first token met the class's target.
     pub met_target: u64,
+    /// The work that was asked for.
+    pub asked_work: Work,
+    /// The work of the whole answers that met their target.
+    pub met_work: Work,
     /// Tokens of the prompts that engines took on.
     pub prompt_tokens: u64,
     /// Those of them that were cached.
@@ -213,6 +218,11 @@
                 .is_some_and(|us| millis(us) <= target_ms)
     }
 
+    fn work(&self, at: usize) -> Work {
+        let answer_tokens = self.schedule.requests[at].max_answer_tokens;
+        EngineShape::of(self.schedule.workload).work(self.unbounded[at], answer_tokens)
+    }
+
     fn figures<F>(&self, name: &str, belongs: F) -> Figures
     where
         F: Fn(usize) -> bool,
@@ -229,7 +239,12 @@
                 continue;
             }
             figures.requests += 1;
-            figures.met_target += u64::from(self.met_target(at));
+            let work = self.work(at);
+            figures.asked_work += work;
+            if self.met_target(at) {
+                figures.met_target += 1;
+                figures.met_work += work;
+            }
             figures.count_end(&outcome.end);
             figures.count_tokens(outcome, self.unbounded[at]);
             if let Some(us) = outcome.first_token_us {
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -110,7 +110,7 @@
         self.runs.iter().filter(move |run| run.policy == policy)
     }
 
-    fn figures_of(&self, policy: Policy, class: &str) -> impl Iterator<Item = &Figures> {
+    pub(crate) fn figures_of(&self, policy: Policy, class: &str) -> impl Iterator<Item = &Figures> {
         self.runs_of(policy)
             .flat_map(|run| &run.figures)
             .filter(move |figures| figures.name == class)
