--- a/standins/src/load/measure.rs
+++ b/standins/src/load/measure.rs
@@ -3,6 +3,7 @@
 use {
     crate::load::{
         cluster::EngineTotals,
+        engine_shape::{EngineShape, Work},
         number::{float, micros_of, millis, ratio},
         outcome::{End, Outcome},
         policy::Policy,
@@ -10,6 +11,7 @@
         unbounded::PromptTokens,
         workload::ClassShape,
     },
+    derive_more::Display,
     hdrhistogram::Histogram,
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -92,6 +94,10 @@
     pub between_tokens: Percentiles,
     /// Whole answers whose first token met the class's target.
     pub met_target: u64,
+    /// The work that was asked for.
+    pub asked_work: Work,
+    /// The work of the whole answers that met their target.
+    pub met_work: Work,
     /// Tokens of the prompts that engines took on.
     pub prompt_tokens: u64,
     /// Those of them that were cached.
@@ -122,6 +128,21 @@
     pub cached_tokens: u64,
 }
 
+/// What became of credits that lapsed, of all customers together, in microcredits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[display(
+    "{unused_microcredits} of {granted_microcredits} microcredits lapsed unused, \
+     {drawn_microcredits} were drawn"
+)]
+pub struct Lapsed {
+    /// Granted.
+    pub granted_microcredits: u64,
+    /// Drawn from the ledger.
+    pub drawn_microcredits: u64,
+    /// Not spent on answers to requests that were sent before they lapsed.
+    pub unused_microcredits: u64,
+}
+
 /// One run of one policy.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RunRecord {
@@ -136,8 +157,8 @@
     /// How long after the fault the share of chats that meet their target was back within a tenth
     /// of that before, in seconds; none without a fault or when it was not back in the run.
     pub recovered_after_s: Option<u64>,
-    /// Granted microcredits that lapsed without being spent; none when no grant lapsed.
-    pub lapsed_unused_microcredits: Option<u64>,
+    /// What became of credits that lapsed; none when none did.
+    pub lapsed: Option<Lapsed>,
     /// What the engines have done in all, also for attempts that no caller had an answer of.
     pub engines: EngineTotals,
     /// Times of the first tokens of all chats, sorted, in microseconds.
@@ -178,7 +199,7 @@
             figures,
             seconds,
             recovered_after_s,
-            lapsed_unused_microcredits: None,
+            lapsed: None,
             engines: EngineTotals::default(),
             first_tokens_us: self.first_tokens(),
         }
@@ -197,6 +218,11 @@
                 .is_some_and(|us| millis(us) <= target_ms)
     }
 
+    fn work(&self, at: usize) -> Work {
+        let answer_tokens = self.schedule.requests[at].max_answer_tokens;
+        EngineShape::of(self.schedule.workload).work(self.unbounded[at], answer_tokens)
+    }
+
     fn figures<F>(&self, name: &str, belongs: F) -> Figures
     where
         F: Fn(usize) -> bool,
@@ -213,7 +239,12 @@
                 continue;
             }
             figures.requests += 1;
-            figures.met_target += u64::from(self.met_target(at));
+            let work = self.work(at);
+            figures.asked_work += work;
+            if self.met_target(at) {
+                figures.met_target += 1;
+                figures.met_work += work;
+            }
             figures.count_end(&outcome.end);
             figures.count_tokens(outcome, self.unbounded[at]);
             if let Some(us) = outcome.first_token_us {
@@ -238,6 +269,19 @@
             .filter(|at| self.class(*at).service.is_none())
     }
 
+    /// What each customer's answers cost of the requests that were sent before a time, in
+    /// microcredits.
+    #[must_use]
+    pub fn spent_before(&self, at_us: u64) -> Vec<u64> {
+        let mut spent = vec![0; self.schedule.workload.customers().len()];
+        for (request, outcome) in self.schedule.requests.iter().zip(self.outcomes) {
+            if request.at_us < at_us {
+                spent[request.customer] += cost_microcredits(outcome);
+            }
+        }
+        spent
+    }
+
     fn first_tokens(&self) -> FirstTokens {
         let mut times: FirstTokens = self
             .chats()
@@ -280,16 +324,21 @@
         let Some(prompt) = outcome.prompt else {
             return;
         };
-        let computed = prompt.prompt.saturating_sub(prompt.cached) + outcome.answer_tokens;
         self.prompt_tokens += prompt.prompt;
         self.cached_tokens += prompt.cached;
         self.unbounded_tokens += unbounded.cached;
         self.recomputed_tokens += unbounded.cached.saturating_sub(prompt.cached);
         self.answer_tokens += outcome.answer_tokens;
-        self.cost_microcredits += computed * PRICE_MICROCREDITS / TOKENS_PER_PRICE;
+        self.cost_microcredits += cost_microcredits(outcome);
     }
 }
 
+fn cost_microcredits(outcome: &Outcome) -> u64 {
+    let prompt = outcome.prompt.unwrap_or_default();
+    let computed = prompt.prompt.saturating_sub(prompt.cached) + outcome.answer_tokens;
+    computed * PRICE_MICROCREDITS / TOKENS_PER_PRICE
+}
+
 /// An empty histogram of microseconds, up to more than a request may take.
 pub(crate) fn histogram() -> Histogram<u64> {
     Histogram::new_with_bounds(1, LONGEST_US, SIGNIFICANT_DIGITS)
