Remember of each life whether it said that it is leaving

Cause: only one life was remembered; when the known one had said it, the message of the next one was dropped, and after the probe that life got work. The regression test is made stricter; it failed before and passes now.

--- a/core/src/system/liveness.rs
+++ b/core/src/system/liveness.rs
@@ -17,6 +17,8 @@
 const PROBE_INTERVAL_MS: DurationMs = DurationMs(500);
 /// How long the answer to a probe may take before the worker is asked again.
 pub const PROBE_LIMIT_MS: DurationMs = DurationMs(1_500);
+/// The lives of a worker that are remembered to be leaving.
+const LEAVING_LIVES: usize = 4;
 /// How long a worker is remembered that is no longer listed.
 const UNLISTED_RETENTION_MS: DurationMs = DurationMs(60_000);
 
@@ -64,10 +66,15 @@
 /// list of VMs says.
 pub fn leaving(core: &mut Core, id: WorkerId, incarnation: Incarnation) {
     seen_alive(core, id, incarnation);
-    if let Some(worker) = core.workers.get_mut(&id)
-        && !worker.says_leaving()
-    {
-        worker.said_leaving = Some(incarnation);
+    let Some(worker) = core.workers.get_mut(&id) else {
+        return;
+    };
+    if worker.said_leaving.contains(&incarnation) {
+        return;
+    }
+    worker.said_leaving.push_back(incarnation);
+    if worker.said_leaving.len() > LEAVING_LIVES {
+        worker.said_leaving.pop_front();
     }
 }
 
--- a/core/src/worker.rs
+++ b/core/src/worker.rs
@@ -73,8 +73,8 @@
     pub service: Option<ServiceId>,
     /// Whether it is leaving, by the list of VMs.
     pub leaving: bool,
-    /// The life that has said itself that it is leaving.
-    pub said_leaving: Option<Incarnation>,
+    /// The lives that have said themselves that they are leaving, latest last.
+    pub said_leaving: VecDeque<Incarnation>,
     /// Since when the list of VMs lacks it.
     pub unlisted_since_ms: Option<TimeMs>,
     /// How alive it is believed to be.
@@ -122,7 +122,7 @@
             domain: vm.domain(),
             service: vm.role.service(),
             leaving: vm.leaving,
-            said_leaving: None,
+            said_leaving: VecDeque::new(),
             unlisted_since_ms: None,
             liveness: Liveness::Alive,
             incarnation: None,
@@ -154,7 +154,8 @@
     /// Whether its present life has said itself that it is leaving.
     #[must_use]
     pub fn says_leaving(&self) -> bool {
-        self.said_leaving.is_some() && self.said_leaving == self.incarnation
+        self.incarnation
+            .is_some_and(|life| self.said_leaving.contains(&life))
     }
 
     /// The weights of `model` that it has loaded, if any.
--- a/core/tests/promises.rs
+++ b/core/tests/promises.rs
@@ -295,6 +295,11 @@
         worker,
         incarnation,
     };
+    let known = Event::WorkerLeaving {
+        worker,
+        incarnation: Incarnation(1),
+    };
+    core.handle(START, known);
     core.handle(START, leaving);
     core.handle(later(1), probed(worker, 2));
     assert!(!takes_work(&core, "engine-a"));
