--- a/src/callers.rs
+++ b/src/callers.rs
@@ -68,13 +68,13 @@
 }
 
 async fn chat(request: HttpRequest, payload: Payload, state: State<CallersState>) -> HttpResponse {
-    let Some(customer) = customer(&request, &state.driver) else {
-        return unauthorized();
-    };
     let body = match read_body(payload, state.max_body_bytes).await {
         Ok(body) => body,
         Err(response) => return response,
     };
+    let Some(customer) = customer(&request, &state.driver) else {
+        return unauthorized();
+    };
     let chat = match ChatRequest::parse(&body) {
         Ok(chat) => chat,
         Err(problem) => return HttpResponse::BadRequest().json(&openai::field_body(&problem)),
@@ -112,6 +112,10 @@
     payload: Payload,
     state: State<CallersState>,
 ) -> HttpResponse {
+    let body = match read_body(payload, state.max_body_bytes).await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
     let Some(customer) = customer(&request, &state.driver) else {
         return unauthorized();
     };
@@ -129,10 +133,6 @@
         );
         return HttpResponse::BadRequest().json(&body);
     }
-    let body = match read_body(payload, state.max_body_bytes).await {
-        Ok(body) => body,
-        Err(response) => return response,
-    };
     let key = once_key.clone();
     let mut answered = Answered::arrive(&state.driver, customer, &body, once_key, |request| {
         Arrival {
@@ -336,6 +336,8 @@
     driver.customer(value.strip_prefix("Bearer ")?)
 }
 
+/// Reads a body. That comes before any refusal: an answer to a request that wasn't read may be lost
+/// with its connection.
 async fn read_body(mut payload: Payload, max_body_bytes: usize) -> Result<Bytes, HttpResponse> {
     let mut body: Vec<u8> = Vec::new();
     while let Some(chunk) = payload.next().await {
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -110,7 +110,7 @@
         self.runs.iter().filter(move |run| run.policy == policy)
     }
 
-    fn figures_of(&self, policy: Policy, class: &str) -> impl Iterator<Item = &Figures> {
+    pub(crate) fn figures_of(&self, policy: Policy, class: &str) -> impl Iterator<Item = &Figures> {
         self.runs_of(policy)
             .flat_map(|run| &run.figures)
             .filter(move |figures| figures.name == class)
@@ -193,12 +193,8 @@
                     run.policy, run.repeat
                 )?;
             }
-            if let Some(lapsed) = run.lapsed_unused_microcredits {
-                writeln!(
-                    out,
-                    "{} run {} lapsed unused: {lapsed} microcredits",
-                    run.policy, run.repeat
-                )?;
+            if let Some(lapsed) = run.lapsed {
+                writeln!(out, "{} run {} credits: {lapsed}", run.policy, run.repeat)?;
             }
         }
         Ok(())
