--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -1,7 +1,7 @@
 //! The decisions of cactusspur, without I/O.
 //!
 //! [`Core`] takes typed [`Event`]s with a time in and gives typed [`Command`]s back. See
-//! [`core`](crate::core) for how to drive it.
+//! the module [`mod@crate::core`] for how to drive it.
 
 pub mod cache;
 pub mod command;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,7 +5,7 @@
         callers::{self, CallersState},
         control::{Control, ControlSettings},
         driver::Driver,
-        operators::{self, OperatorsState, Readiness},
+        operators_server::{self, OperatorsState, Readiness},
         outbound::Outbound,
         platform::Platform,
         poller,
@@ -142,7 +142,7 @@
         let operators = HttpServer::new(async move || {
             App::new()
                 .state(operators_state.clone())
-                .configure(operators::configure)
+                .configure(operators_server::configure)
         });
         let servers = vec![
             callers
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod membership;
 pub mod openai;
 pub mod operator;
-pub mod operators;
+pub mod operators_server;
 pub mod outbound;
 pub mod peer;
 pub mod platform;
