Read the levels of a chat once

Cause: a chat's messages were copied out twice on its way in, once to check them and once to use them, and the second check's refusal could never be reached. Change: one parse gives the request with its levels.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -82,12 +82,8 @@
     let Some(customer) = customer(&request, &state.driver) else {
         return unauthorized(&state.driver);
     };
-    let chat = match ChatRequest::parse(&body) {
-        Ok(chat) => chat,
-        Err(problem) => return HttpResponse::BadRequest().json(&openai::field_body(&problem)),
-    };
-    let levels = match chat.levels() {
-        Ok(levels) => levels,
+    let (chat, levels) = match ChatRequest::parse_with_levels(&body) {
+        Ok(parsed) => parsed,
         Err(problem) => return HttpResponse::BadRequest().json(&openai::field_body(&problem)),
     };
     let class = ClassId::of(&chat.model);
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -72,6 +72,15 @@
     ///
     /// Names the field that can't be taken.
     pub fn parse(body: &[u8]) -> Result<Self, FieldProblem> {
+        Self::parse_with_levels(body).map(|parsed| parsed.0)
+    }
+
+    /// Reads and checks a body, and gives the texts of its messages as well.
+    ///
+    /// # Errors
+    ///
+    /// Names the field that can't be taken.
+    pub fn parse_with_levels(body: &[u8]) -> Result<(Self, Vec<Bytes>), FieldProblem> {
         let value: Value = serde_json::from_slice(body)
             .map_err(|error| FieldProblem::new("body", error.to_string()))?;
         for field in ["model", "messages"] {
@@ -90,8 +99,8 @@
         if request.max_tokens == Some(0) {
             return Err(FieldProblem::new("max_tokens", "must be 1 or more"));
         }
-        request.levels()?;
-        Ok(request)
+        let levels = request.levels()?;
+        Ok((request, levels))
     }
 
     /// The texts of the messages, in order.
