--- /dev/null
+++ b/core/src/gateway.rs
@@ -0,0 +1,21 @@
+//! The decisions of a gateway: an entry VM that forwards requests to backend servers which run
+//! elsewhere and are listed by somebody else.
+//!
+//! Everything here is told the time and does no I/O. The network side is in the crate
+//! `cactusspur`, in its module `gateway`.
+
+pub mod backend;
+pub mod budget;
+pub mod cached;
+pub mod choice;
+pub mod rollout;
+pub mod routing;
+
+pub use {
+    backend::{Backend, BackendSpec, BackendTable, Load},
+    budget::{BudgetTerms, RetryBudget},
+    cached::{CacheScope, CachedParts, PartNote, PromptPart, chain_of, rank, scoped},
+    choice::{Choice, Fetch, ModelCall, NamedWeights, Surroundings, choose_model, choose_plain},
+    rollout::{OrderState, Rollout, RolloutStep},
+    routing::{CallKind, CallerLimits, CustomerSpec, Route, RoutingTable, ServiceSpec, Split},
+};
--- /dev/null
+++ b/core/src/gateway/backend.rs
@@ -0,0 +1,228 @@
+//! The backend servers that a gateway forwards to, and what it believes of each.
+
+use {
+    crate::{
+        id::{WeightsVersion, WorkerId},
+        table::Table,
+        unit::{DurationMs, TimeMs, Tokens},
+    },
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// How long a load that a backend server has told counts. After that only own sends do.
+const LOAD_BELIEVED_MS: DurationMs = DurationMs(1_000);
+/// The time in which the memory of failures halves: a few of the shortest outages that matter.
+const FAILURE_HALF_LIFE_MS: DurationMs = DurationMs(2_000);
+/// The weight of the newest result among earlier ones, in percent.
+const FAILURE_WEIGHT_PERCENT: u64 = 35;
+/// A backend server that always fails.
+pub const ALWAYS_FAILS: u64 = 1_000;
+/// How long a backend server is left out after a connection to it could not be opened.
+const UNREACHABLE_MS: DurationMs = DurationMs(700);
+/// The longest time that one is left out for repeated failures to connect.
+const MAX_UNREACHABLE_MS: DurationMs = DurationMs(5_600);
+
+/// What a backend server says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendSpec {
+    /// The name of this life of the server.
+    pub instance: String,
+    /// When this life began, in milliseconds since the Unix epoch.
+    pub born_ms: u64,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// The requests that it processes at once.
+    pub slots: u64,
+    /// Whether it takes new work.
+    pub is_ready: bool,
+    /// The versions of the models' weights that it has.
+    pub weights: Vec<(String, WeightsVersion)>,
+}
+
+/// The load that a backend server tells with an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests in progress.
+    pub running: u64,
+    /// Requests that wait.
+    pub waiting: u64,
+}
+
+/// One backend server.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    /// What it says of itself.
+    pub spec: BackendSpec,
+    /// This entry VM's requests in progress there.
+    pub in_flight: u64,
+    /// Prompt tokens of this entry VM's requests that wait for their first token there.
+    pub unread_tokens: Tokens,
+    /// Until when it is better left to finish its work, since its weights are about to change.
+    pub held_until_ms: TimeMs,
+    load: Load,
+    load_at_ms: TimeMs,
+    sent_since_load: u64,
+    failures: u64,
+    failures_at_ms: TimeMs,
+    unreachable_until_ms: TimeMs,
+    connect_failures: u32,
+}
+
+impl Backend {
+    fn new(spec: BackendSpec) -> Self {
+        Self {
+            spec,
+            in_flight: 0,
+            unread_tokens: Tokens(0),
+            held_until_ms: TimeMs(0),
+            load: Load::default(),
+            load_at_ms: TimeMs(0),
+            sent_since_load: 0,
+            failures: 0,
+            failures_at_ms: TimeMs(0),
+            unreachable_until_ms: TimeMs(0),
+            connect_failures: 0,
+        }
+    }
+
+    /// The version of a model's weights that it is believed to have.
+    #[must_use]
+    pub fn weights(&self, model: &str) -> Option<WeightsVersion> {
+        let mut weights = self.spec.weights.iter();
+        weights.find(|row| row.0 == model).map(|row| row.1)
+    }
+
+    /// Notes that it has at least this version of a model's weights.
+    pub fn note_weights(&mut self, model: &str, version: WeightsVersion) {
+        let row = self.spec.weights.iter_mut().find(|row| row.0 == model);
+        if let Some(row) = row {
+            row.1 = row.1.max(version);
+        }
+    }
+
+    /// Notes a request that is being sent.
+    pub fn note_sent(&mut self, unread: Tokens) {
+        self.in_flight += 1;
+        self.sent_since_load += 1;
+        self.unread_tokens += unread;
+    }
+
+    /// Notes that the first token of a request has come, or never will.
+    pub fn note_read(&mut self, unread: Tokens) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(unread);
+    }
+
+    /// Notes that a request has ended.
+    pub fn note_ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Notes the load that came with an answer.
+    pub fn note_load(&mut self, load: Load, now: TimeMs) {
+        self.load = load;
+        self.load_at_ms = now;
+        self.sent_since_load = 0;
+    }
+
+    /// Notes whether it did what it was asked to.
+    pub fn note_result(&mut self, succeeded: bool, now: TimeMs) {
+        let result = if succeeded { 0 } else { ALWAYS_FAILS };
+        let earlier = self.failure_share(now) * (100 - FAILURE_WEIGHT_PERCENT);
+        self.failures = (earlier + result * FAILURE_WEIGHT_PERCENT) / 100;
+        self.failures_at_ms = now;
+        if succeeded {
+            self.connect_failures = 0;
+        }
+    }
+
+    /// Notes that no connection to it could be opened. It is left out for a time that doubles.
+    pub fn note_unreachable(&mut self, now: TimeMs) {
+        let doublings = self.connect_failures.min(3);
+        let left_out = DurationMs(UNREACHABLE_MS.0 << doublings).min(MAX_UNREACHABLE_MS);
+        self.connect_failures += 1;
+        self.unreachable_until_ms = now.after(left_out);
+        self.note_result(false, now);
+    }
+
+    /// Whether connections to it can probably be opened.
+    #[must_use]
+    pub fn is_reachable(&self, now: TimeMs) -> bool {
+        now >= self.unreachable_until_ms
+    }
+
+    /// The share of requests that failed lately, of [`ALWAYS_FAILS`].
+    #[must_use]
+    pub fn failure_share(&self, now: TimeMs) -> u64 {
+        let halvings = now.since(self.failures_at_ms).0 / FAILURE_HALF_LIFE_MS.0;
+        self.failures >> halvings.min(32)
+    }
+
+    /// The requests that are probably there: what it told last and what was sent since, or this
+    /// entry VM's own, whichever is more.
+    #[must_use]
+    pub fn occupancy(&self, now: TimeMs) -> u64 {
+        if now.since(self.load_at_ms) > LOAD_BELIEVED_MS {
+            return self.in_flight;
+        }
+        let told = self.load.running + self.load.waiting + self.sent_since_load;
+        told.max(self.in_flight)
+    }
+}
+
+/// All backend servers.
+#[derive(Clone, Debug, Default)]
+pub struct BackendTable {
+    rows: Table<WorkerId, Backend>,
+}
+
+impl BackendTable {
+    /// Takes over what a server says of itself. Gives back whether it started anew, so that what
+    /// was believed of its earlier life must go.
+    pub fn upsert(&mut self, spec: BackendSpec) -> bool {
+        let id = WorkerId::of(&spec.instance);
+        let Some(backend) = self.rows.get_mut(&id) else {
+            self.rows.insert(id, Backend::new(spec));
+            return false;
+        };
+        let restarted = backend.spec.born_ms != spec.born_ms;
+        let weights = std::mem::replace(&mut backend.spec, spec).weights;
+        if !restarted {
+            for (model, version) in weights {
+                backend.note_weights(&model, version);
+            }
+        }
+        restarted
+    }
+
+    /// Takes a server out of use.
+    pub fn remove(&mut self, worker: WorkerId) -> Option<Backend> {
+        self.rows.remove(&worker)
+    }
+
+    /// One server.
+    #[must_use]
+    pub fn get(&self, worker: WorkerId) -> Option<&Backend> {
+        self.rows.get(&worker)
+    }
+
+    /// One server, to change.
+    pub fn get_mut(&mut self, worker: WorkerId) -> Option<&mut Backend> {
+        self.rows.get_mut(&worker)
+    }
+
+    /// All servers.
+    pub fn iter(&self) -> impl Iterator<Item = (WorkerId, &Backend)> {
+        self.rows.iter().map(|(id, backend)| (*id, backend))
+    }
+
+    /// The servers of a service that take new work.
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (WorkerId, &'a Backend)> {
+        self.iter()
+            .filter(move |row| row.1.spec.is_ready && row.1.spec.service == service)
+    }
+}
--- /dev/null
+++ b/core/src/gateway/cached.rs
@@ -0,0 +1,202 @@
+//! Which backend server probably holds which parts of prompts.
+//!
+//! Learnt from answered requests of this entry VM and of its peers. A belief that is wrong costs
+//! a failed fetch or a read, never a wrong answer: engines check the scope themselves.
+
+use {
+    crate::{
+        id::{WeightsVersion, WorkerId},
+        table::Table,
+        unit::{DurationMs, TimeMs, Tokens},
+    },
+    derive_more::{Display, From, FromStr, Into},
+    serde::{Deserialize, Serialize},
+    std::iter,
+    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
+};
+
+/// How long a part is believed to stay cached after its last use. Engines evict the least
+/// recently used parts; at the deployments' usual load that takes longer than this.
+const BELIEVED_MS: DurationMs = DurationMs(15_000);
+/// Holders that are remembered for one part. More are not needed to find one that is idle.
+const MAX_HOLDERS: usize = 6;
+/// Parts that are remembered. Beyond these the ones that were not used for the longest time go.
+const MAX_PARTS: usize = 6_000;
+
+/// A named part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptPart {
+    /// The hash of its name.
+    pub id: u64,
+    /// Its length.
+    pub tokens: Tokens,
+}
+
+/// What two requests must have in common to share cached work: the model, its weights and, for
+/// an isolated customer, the customer.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From, FromStr, Into,
+)]
+pub struct CacheScope(pub u64);
+
+impl CacheScope {
+    /// The scope of a model's requests. `wall` names the customer if it is isolated.
+    #[must_use]
+    pub fn of(model: &str, weights: WeightsVersion, wall: Option<&str>) -> Self {
+        let seed = xxh3_64_with_seed(model.as_bytes(), weights.0);
+        Self(wall.map_or(seed, |name| xxh3_64_with_seed(name.as_bytes(), !seed)))
+    }
+}
+
+/// The position of each part within its prompt: a part counts as cached only behind all parts
+/// before it.
+#[must_use]
+pub fn chain_of(parts: &[PromptPart]) -> Vec<u64> {
+    parts
+        .iter()
+        .scan(0, |seed, part| {
+            *seed = xxh3_64_with_seed(&part.id.to_le_bytes(), *seed);
+            Some(*seed)
+        })
+        .collect()
+}
+
+/// A key of a part that is the same in all entry VMs.
+#[must_use]
+pub fn scoped(scope: CacheScope, link: u64) -> u64 {
+    xxh3_64_with_seed(&link.to_le_bytes(), scope.0)
+}
+
+/// Ranks a backend server for a key, in the same way in every entry VM. The highest is the home.
+#[must_use]
+pub fn rank(key: u64, worker: WorkerId) -> u64 {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&key.to_le_bytes());
+    bytes[8..].copy_from_slice(&worker.0.to_le_bytes());
+    xxh3_64(&bytes)
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    worker: WorkerId,
+    used_at_ms: TimeMs,
+    is_read: bool,
+}
+
+/// A note that a backend server has read a part, or is about to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartNote {
+    /// The part, by [`scoped`].
+    pub part: u64,
+    /// Who holds it.
+    pub worker: WorkerId,
+    /// Whether it has read it already.
+    pub is_read: bool,
+}
+
+/// The beliefs about all parts.
+#[derive(Clone, Debug, Default)]
+pub struct CachedParts {
+    parts: Table<u64, Vec<Holder>>,
+}
+
+impl CachedParts {
+    /// Notes that a backend server holds a part, or will once it has read it.
+    pub fn note(&mut self, note: PartNote, now: TimeMs) {
+        if self.parts.len() >= MAX_PARTS && !self.parts.contains(&note.part) {
+            self.drop_oldest(now);
+        }
+        let holders = self.parts.get_or_insert_with(note.part, Vec::new);
+        let known = holders
+            .iter_mut()
+            .find(|holder| holder.worker == note.worker);
+        if let Some(holder) = known {
+            holder.used_at_ms = now;
+            holder.is_read |= note.is_read;
+            return;
+        }
+
+        if holders.len() >= MAX_HOLDERS {
+            holders.sort_by_key(|holder| holder.used_at_ms);
+            holders.remove(0);
+        }
+        holders.push(Holder {
+            worker: note.worker,
+            used_at_ms: now,
+            is_read: note.is_read,
+        });
+    }
+
+    /// Forgets all that a backend server held.
+    pub fn forget(&mut self, worker: WorkerId) {
+        self.parts.retain(|_, holders| {
+            holders.retain(|holder| holder.worker != worker);
+            !holders.is_empty()
+        });
+    }
+
+    /// Whether a backend server is believed to hold a part.
+    #[must_use]
+    pub fn holds(&self, part: u64, worker: WorkerId, now: TimeMs) -> bool {
+        self.holders(part, now).any(|holder| holder == worker)
+    }
+
+    /// All that have read a part, so that others can fetch it there.
+    pub fn sources(&self, part: u64, now: TimeMs) -> impl Iterator<Item = WorkerId> {
+        let holders = self.parts.get(&part).into_iter().flatten();
+        holders
+            .filter(move |holder| holder.is_read && now.since(holder.used_at_ms) < BELIEVED_MS)
+            .map(|holder| holder.worker)
+    }
+
+    /// All that hold a part or are about to.
+    pub fn holders(&self, part: u64, now: TimeMs) -> impl Iterator<Item = WorkerId> {
+        let holders = self.parts.get(&part).into_iter().flatten();
+        holders
+            .filter(move |holder| now.since(holder.used_at_ms) < BELIEVED_MS)
+            .map(|holder| holder.worker)
+    }
+
+    /// How many of the parts, from the first on, a backend server is believed to hold.
+    #[must_use]
+    pub fn depth(&self, parts: &[u64], worker: WorkerId, now: TimeMs) -> usize {
+        let held = parts.iter().map(|part| self.holds(*part, worker, now));
+        held.take_while(|held| *held).count()
+    }
+
+    /// How many of the parts, from the first on, a backend server has read.
+    #[must_use]
+    pub fn read_depth(&self, parts: &[u64], worker: WorkerId, now: TimeMs) -> usize {
+        let read = parts
+            .iter()
+            .map(|part| self.sources(*part, now).any(|source| source == worker));
+        read.take_while(|read| *read).count()
+    }
+
+    /// The parts that are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// Whether no part is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
+    fn drop_oldest(&mut self, now: TimeMs) {
+        let mut ages: Vec<u64> = self.parts.iter().map(|row| age_ms(row.1, now)).collect();
+        ages.sort_unstable();
+        let Some(median) = ages.get(ages.len() / 2).copied() else {
+            return;
+        };
+        self.parts
+            .retain(|_, holders| age_ms(holders, now) < median.max(1));
+    }
+}
+
+fn age_ms(holders: &[Holder], now: TimeMs) -> u64 {
+    let ages = holders.iter().map(|holder| now.since(holder.used_at_ms).0);
+    ages.chain(iter::once(u64::MAX)).min().unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/core/src/gateway/choice.rs
@@ -0,0 +1,278 @@
+//! Which backend server takes a request.
+
+use {
+    super::{
+        backend::{ALWAYS_FAILS, Backend, BackendTable},
+        cached::{CacheScope, CachedParts, PromptPart, rank, scoped},
+        routing::ServiceSpec,
+    },
+    crate::{
+        id::{WeightsVersion, WorkerId},
+        unit::{DurationMs, TimeMs, Tokens},
+    },
+};
+
+/// The cost of leaving the entry VM's failure domain, in milliseconds: bytes between failure
+/// domains are paid for.
+const OTHER_DOMAIN_MS: u64 = 12;
+/// The cost of a backend server that always fails, in milliseconds: more than any queue that it
+/// would be worth to avoid it for.
+const FAILING_MS: u64 = 3_000;
+/// Prompt tokens that an engine reads in a millisecond, until one is known to differ. Of the
+/// deployments' engines.
+const READ_TOKENS_PER_MS: u64 = 42;
+/// The cost of reading a thousand shared tokens again beside the time that it takes, in
+/// milliseconds: recomputed prompt work is paid for.
+const REREAD_MS_PER_THOUSAND: u64 = 100;
+/// The time that it takes to set up a fetch of cached parts, in milliseconds.
+const FETCH_SETUP_MS: u64 = 4;
+/// The cost of one more request in an engine's batch, in milliseconds: each slows all others.
+const BATCH_MS: u64 = 4;
+/// The cost of a request that must wait for a slot of a plain service, in milliseconds: about
+/// the work of one request.
+const SLOT_WAIT_MS: u64 = 30;
+/// The cost of each step away from a part's home, in milliseconds, as long as nobody holds it.
+const RANK_MS: u64 = 8;
+/// How long answers on the weights before the newest are still worth as much.
+const OLD_WEIGHTS_FREE_MS: DurationMs = DurationMs(1_300);
+/// The cost of older weights after that, in milliseconds: a fifth of the answer's worth is lost.
+const OLD_WEIGHTS_MS: u64 = 150;
+/// The time before older weights are no longer permitted in which none is used any more: what a
+/// request may take on the way and in the engine's queue.
+const OLD_WEIGHTS_MARGIN_MS: DurationMs = DurationMs(700);
+/// The cost of disturbing a backend server that is about to change its weights.
+const HELD_MS: u64 = 600;
+
+/// Where an engine finds cached parts that it lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fetch {
+    /// At another engine.
+    Engine(WorkerId),
+    /// In the store of kept KV cache.
+    KeptStore,
+}
+
+/// A backend server that takes a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The server.
+    pub worker: WorkerId,
+    /// Where it finds cached parts that it lacks.
+    pub fetch: Option<Fetch>,
+    /// Prompt tokens that it is predicted to read.
+    pub unread: Tokens,
+    /// The weights that the request runs on, of a model's.
+    pub weights: Option<WeightsVersion>,
+    /// The predicted time to the first token.
+    pub first_token_ms: DurationMs,
+}
+
+/// What a choice looks at beside the request.
+#[derive(Clone, Copy, Debug)]
+pub struct Surroundings<'a> {
+    /// All backend servers.
+    pub backends: &'a BackendTable,
+    /// Who holds which parts.
+    pub cached: &'a CachedParts,
+    /// This entry VM's failure domain.
+    pub domain: &'a str,
+    /// Servers that have failed this request.
+    pub tried: &'a [WorkerId],
+    /// Now.
+    pub now: TimeMs,
+}
+
+/// The newest weights that were named for a model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NamedWeights {
+    /// Their version.
+    pub version: WeightsVersion,
+    /// When this entry VM heard of them.
+    pub heard_at_ms: TimeMs,
+    /// How long after that a request may begin on older ones.
+    pub permitted_ms: DurationMs,
+}
+
+/// A request to a model.
+#[derive(Clone, Copy, Debug)]
+pub struct ModelCall<'a> {
+    /// The model.
+    pub model: &'a str,
+    /// The customer's name, if it shares no cached work.
+    pub wall: Option<&'a str>,
+    /// The parts of its prompt. The last one is its own.
+    pub parts: &'a [PromptPart],
+    /// [`super::chain_of`] the parts.
+    pub chain: &'a [u64],
+    /// The newest weights.
+    pub newest: Option<NamedWeights>,
+}
+
+/// Chooses the server for a request to a plain service. `draw` spreads equal ones.
+#[must_use]
+pub fn choose_plain(around: &Surroundings<'_>, service: &str, draw: u64) -> Option<Choice> {
+    let usable = around.usable(service);
+    let best = usable.min_by_key(|(worker, backend)| {
+        let occupancy = backend.occupancy(around.now);
+        let slots = backend.spec.slots.max(1);
+        let waiting = (occupancy + 1).saturating_sub(slots) * SLOT_WAIT_MS * 2 / slots;
+        // Equal shares among servers that have free slots.
+        let share = occupancy * SLOT_WAIT_MS / slots;
+        let cost = waiting + share + around.standing_cost(backend);
+        (cost, rank(draw, *worker))
+    })?;
+    Some(Choice {
+        worker: best.0,
+        fetch: None,
+        unread: Tokens(0),
+        weights: None,
+        first_token_ms: DurationMs(0),
+    })
+}
+
+/// Chooses the engine for a request to a model.
+#[must_use]
+pub fn choose_model(
+    around: &Surroundings<'_>,
+    service: &ServiceSpec,
+    call: &ModelCall<'_>,
+) -> Option<Choice> {
+    let home_key = call.chain.iter().rev().nth(1).copied().unwrap_or_default();
+    let mut engines: Vec<(WorkerId, &Backend, WeightsVersion)> = around
+        .usable(&service.name)
+        .filter_map(|(worker, backend)| Some((worker, backend, backend.weights(call.model)?)))
+        .filter(|engine| is_permitted(engine.2, call.newest, around.now))
+        .collect();
+    engines.sort_by_key(|engine| std::cmp::Reverse(rank(home_key, engine.0)));
+    let predictions = engines.iter().enumerate();
+    predictions
+        .map(|(steps, engine)| predict(around, service, call, *engine, steps as u64))
+        .min_by_key(|(cost, _)| *cost)
+        .map(|(_, choice)| choice)
+}
+
+fn is_permitted(weights: WeightsVersion, newest: Option<NamedWeights>, now: TimeMs) -> bool {
+    newest.is_none_or(|named| {
+        let permitted = named.permitted_ms.saturating_sub(OLD_WEIGHTS_MARGIN_MS);
+        weights >= named.version || now.since(named.heard_at_ms) < permitted
+    })
+}
+
+fn predict(
+    around: &Surroundings<'_>,
+    service: &ServiceSpec,
+    call: &ModelCall<'_>,
+    (worker, backend, weights): (WorkerId, &Backend, WeightsVersion),
+    steps_from_home: u64,
+) -> (u64, Choice) {
+    let scope = CacheScope::of(call.model, weights, call.wall);
+    let shared = call.parts.len().saturating_sub(1);
+    let keys: Vec<u64> = call.chain[..shared]
+        .iter()
+        .map(|link| scoped(scope, *link))
+        .collect();
+    let held = around.cached.depth(&keys, worker, around.now);
+    let (source, source_depth) = best_source(around, &keys, worker);
+    let fetched = source_depth.max(held);
+    let tokens = |range: &[PromptPart]| range.iter().map(|part| part.tokens.0).sum::<u64>();
+    let fetched_tokens = tokens(&call.parts[held..fetched]);
+    let reread = tokens(&call.parts[fetched..shared]);
+    let own = tokens(&call.parts[shared..]);
+    let fetch_ms = if fetched > held {
+        FETCH_SETUP_MS + transfer_ms(service, fetched_tokens)
+    } else {
+        0
+    };
+    let read_ms = (own + reread + backend.unread_tokens.0) / READ_TOKENS_PER_MS;
+    let first_token_ms = read_ms + fetch_ms;
+    let home_ms = if held == shared {
+        0
+    } else {
+        steps_from_home * RANK_MS
+    };
+    let cost = first_token_ms
+        + reread * REREAD_MS_PER_THOUSAND / 1_000
+        + backend.occupancy(around.now) * BATCH_MS
+        + home_ms
+        + old_weights_ms(weights, call.newest, around.now)
+        + around.standing_cost(backend);
+    let choice = Choice {
+        worker,
+        fetch: (fetched > held).then_some(source).flatten(),
+        unread: Tokens(own + reread),
+        weights: Some(weights),
+        first_token_ms: DurationMs(first_token_ms),
+    };
+    (cost, choice)
+}
+
+/// The engine that holds the most of the parts, other than the one that lacks them.
+fn best_source(
+    around: &Surroundings<'_>,
+    keys: &[u64],
+    lacking: WorkerId,
+) -> (Option<Fetch>, usize) {
+    let Some(first) = keys.first() else {
+        return (None, 0);
+    };
+    around
+        .cached
+        .sources(*first, around.now)
+        .filter(|holder| *holder != lacking)
+        .filter(|holder| {
+            around
+                .backends
+                .get(*holder)
+                .is_some_and(|b| b.is_reachable(around.now))
+        })
+        .map(|holder| (holder, around.cached.read_depth(keys, holder, around.now)))
+        .max_by_key(|(holder, depth)| (*depth, rank(keys[0], *holder)))
+        .map_or((None, 0), |(holder, depth)| {
+            (Some(Fetch::Engine(holder)), depth)
+        })
+}
+
+fn transfer_ms(service: &ServiceSpec, tokens: u64) -> u64 {
+    let bits = tokens * service.kv_bytes_per_token * 8;
+    bits / (service.link_mbps.max(1) * 1_000)
+}
+
+fn old_weights_ms(weights: WeightsVersion, newest: Option<NamedWeights>, now: TimeMs) -> u64 {
+    let is_old = newest.is_some_and(|named| {
+        weights < named.version && now.since(named.heard_at_ms) >= OLD_WEIGHTS_FREE_MS
+    });
+    if is_old { OLD_WEIGHTS_MS } else { 0 }
+}
+
+impl<'a> Surroundings<'a> {
+    /// The servers of a service that may be tried. One that could not be reached lately is tried
+    /// only when there is no other.
+    fn usable(&self, service: &'a str) -> impl Iterator<Item = (WorkerId, &'a Backend)> {
+        let untried = |row: &(WorkerId, &Backend)| !self.tried.contains(&row.0);
+        let now = self.now;
+        let any_reachable = self
+            .backends
+            .ready(service)
+            .filter(untried)
+            .any(|row| row.1.is_reachable(now));
+        let tried = self.tried;
+        self.backends
+            .ready(service)
+            .filter(move |row| !tried.contains(&row.0))
+            .filter(move |row| !any_reachable || row.1.is_reachable(now))
+    }
+
+    fn standing_cost(&self, backend: &Backend) -> u64 {
+        let distance = if backend.spec.domain == self.domain {
+            0
+        } else {
+            OTHER_DOMAIN_MS
+        };
+        let held = if self.now < backend.held_until_ms {
+            HELD_MS
+        } else {
+            0
+        };
+        distance + held + backend.failure_share(self.now) * FAILING_MS / ALWAYS_FAILS
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod declaration;
 pub mod demand;
 pub mod event;
+pub mod gateway;
 pub mod id;
 pub mod kept;
 pub mod margin;
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -159,6 +159,8 @@
             }
             Ask::PullChanges { after } => self.changes_after(after),
             Ask::Vms => self.known_vms(now),
+            // Only gateways keep copies of tables.
+            Ask::Notice(_) | Ask::PullTables => Answer::UpToDate,
         };
         self.envelope(now, ask.number, answer)
     }
@@ -198,7 +200,8 @@
                 let snapshot = serde_json::from_slice(&configuration_json);
                 self.pulled(now, snapshot.ok().map(Arc::new));
             }
-            Answer::UpToDate => self.pulled(now, None),
+            // Only gateways are asked for tables.
+            Answer::UpToDate | Answer::Tables(_) => self.pulled(now, None),
             Answer::Vms { list, age_ms } => {
                 let as_of_ms = TimeMs(now.0.saturating_sub(age_ms.0));
                 self.listed(list.map(Arc::new), as_of_ms);
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,294 @@
+//! One request of a caller, from its arrival to its answer.
+
+use {
+    super::{
+        Shared,
+        clock::now,
+        dialect::{CallHead, ModelHead, SendHead},
+    },
+    bytes::Bytes,
+    cactusspur_core::{
+        DurationMs, TimeMs, Tokens, Verdict, WorkerId,
+        gateway::{
+            CacheScope, CallKind, Choice, CustomerSpec, Fetch, ModelCall, PartNote, Route,
+            RoutingTable, Surroundings, chain_of, choose_model, choose_plain, scoped,
+        },
+    },
+    http::{HeaderMap, Method, Request, Uri},
+    http_body_util::Full,
+    std::{cell::Cell, net::SocketAddr, rc::Rc},
+};
+
+/// The ranks that a backend server knows.
+const MAX_PRIORITY: u8 = 9;
+
+/// A request that has been read and found to be allowed.
+pub struct Call {
+    /// What the caller said.
+    pub head: CallHead,
+    /// Its route.
+    pub route: Rc<Route>,
+    /// The service that was drawn for it.
+    pub service: String,
+    /// The configuration that it is handled by.
+    pub routing: Rc<RoutingTable>,
+    /// Its customer.
+    pub customer: Option<CustomerSpec>,
+    /// When it arrived.
+    pub arrived_ms: TimeMs,
+    /// When it must have been answered.
+    pub ends_ms: TimeMs,
+    /// When the caller stops to wait.
+    pub deadline_ms: TimeMs,
+    method: Method,
+    path: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    chain: Vec<u64>,
+    draw: u64,
+}
+
+/// Why a request is not handled further.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotAllowed {
+    /// There is no such route.
+    NoRoute,
+    /// Its key belongs to no customer.
+    NoCustomer,
+}
+
+/// What a request must have been read to, before it is a [`Call`].
+pub struct Arrived {
+    /// Its head.
+    pub parts: http::request::Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// What the caller said.
+    pub head: CallHead,
+    /// When it arrived.
+    pub at_ms: TimeMs,
+}
+
+/// What a request may do by the configuration in force: its route and its customer.
+///
+/// # Errors
+///
+/// When it isn't allowed.
+pub fn admit(
+    routing: &RoutingTable,
+    parts: &http::request::Parts,
+    head: &CallHead,
+) -> Result<(Route, Option<CustomerSpec>), NotAllowed> {
+    let host = parts.headers.get(http::header::HOST);
+    let host = host.and_then(|value| value.to_str().ok()).unwrap_or("");
+    let route = routing.route(host, parts.uri.path());
+    let route = route.ok_or(NotAllowed::NoRoute)?;
+    let customer = head.key.as_deref().and_then(|key| routing.customer(key));
+    if routing.has_customers() && !route.is_public && customer.is_none() {
+        return Err(NotAllowed::NoCustomer);
+    }
+    Ok((route.clone(), customer.cloned()))
+}
+
+impl Call {
+    /// A request that is to be served.
+    #[must_use]
+    pub fn new(
+        arrived: Arrived,
+        routing: Rc<RoutingTable>,
+        route: Route,
+        customer: Option<CustomerSpec>,
+        draw: u64,
+    ) -> Self {
+        let Arrived {
+            parts,
+            body,
+            head,
+            at_ms,
+        } = arrived;
+        let waits = head.deadline_ms.unwrap_or(route.timeout_ms);
+        let parts_of_prompt = head.prompt.as_ref().map(|prompt| &prompt.parts[..]);
+        let chain = chain_of(parts_of_prompt.unwrap_or_default());
+        let service = route.service(draw).unwrap_or_default().to_owned();
+        Self {
+            service,
+            arrived_ms: at_ms,
+            ends_ms: at_ms.after(waits.min(route.timeout_ms)),
+            deadline_ms: at_ms.after(waits),
+            route: Rc::new(route),
+            routing,
+            customer,
+            method: parts.method,
+            path: parts.uri,
+            headers: parts.headers,
+            body,
+            head,
+            chain,
+            draw,
+        }
+    }
+
+    /// How often it may run.
+    #[must_use]
+    pub fn kind(&self) -> CallKind {
+        self.route.kind
+    }
+
+    /// The time that is left to answer it.
+    #[must_use]
+    pub fn left_ms(&self) -> DurationMs {
+        self.ends_ms.since(now())
+    }
+
+    /// Chooses a backend server other than those that were tried.
+    #[must_use]
+    pub fn choose(&self, shared: &Shared, tried: &[WorkerId]) -> Option<Choice> {
+        let state = shared.state.borrow();
+        let around = Surroundings {
+            backends: &state.backends,
+            cached: &state.cached,
+            domain: &shared.settings.domain,
+            tried,
+            now: now(),
+        };
+        let service = self.routing.service(&self.service);
+        match (&self.head.prompt, service) {
+            (Some(prompt), Some(service)) if !prompt.parts.is_empty() => {
+                let call = ModelCall {
+                    model: &prompt.model,
+                    wall: self.wall(),
+                    parts: &prompt.parts,
+                    chain: &self.chain,
+                    newest: state.weights.get(&prompt.model).copied(),
+                };
+                choose_model(&around, service, &call)
+            }
+            _ => choose_plain(&around, &self.service, self.draw),
+        }
+    }
+
+    /// The request as it is sent to the chosen server.
+    #[must_use]
+    pub fn request(
+        &self,
+        shared: &Shared,
+        choice: &Choice,
+        last_event: Option<u64>,
+    ) -> Option<(SocketAddr, Request<Full<Bytes>>)> {
+        let state = shared.state.borrow();
+        let spec = &state.backends.get(choice.worker)?.spec;
+        let address = spec.address;
+        let model = self.head.prompt.as_ref().and_then(|prompt| {
+            let weights = choice.weights?;
+            let engine = |worker| state.backends.get(worker).map(|b| b.spec.address);
+            Some(ModelHead {
+                cache_scope: CacheScope::of(&prompt.model, weights, self.wall()).to_string(),
+                weights,
+                priority: self.priority(),
+                fetch_from: choice.fetch.and_then(|fetch| match fetch {
+                    Fetch::Engine(worker) => engine(worker),
+                    Fetch::KeptStore => self.routing.kept_store(),
+                }),
+                save_to: None,
+            })
+        });
+        let head = SendHead {
+            instance: &spec.instance,
+            deadline_ms: self.deadline_ms.since(now()),
+            customer: self
+                .customer
+                .as_ref()
+                .map(|customer| customer.name.as_str()),
+            last_event,
+            model,
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.path.clone();
+        *request.headers_mut() = shared.dialect.forward(&self.headers, &head);
+        Some((address, request))
+    }
+
+    /// Notes which parts of its prompt the chosen server reads, or has read.
+    pub fn note_parts(&self, shared: &Rc<Shared>, choice: &Choice, is_read: bool) {
+        let (Some(prompt), Some(weights)) = (&self.head.prompt, choice.weights) else {
+            return;
+        };
+        let scope = CacheScope::of(&prompt.model, weights, self.wall());
+        let shared_parts = self.chain.len().saturating_sub(1);
+        let notes: Vec<PartNote> = self.chain[..shared_parts]
+            .iter()
+            .map(|link| PartNote {
+                part: scoped(scope, *link),
+                worker: choice.worker,
+                is_read,
+            })
+            .collect();
+        shared.state.borrow_mut().note_parts(&notes, now());
+        shared.peers.note_parts(shared, &notes);
+    }
+
+    fn wall(&self) -> Option<&str> {
+        let customer = self.customer.as_ref()?;
+        customer.isolated.then_some(customer.name.as_str())
+    }
+
+    fn priority(&self) -> u8 {
+        let customer = self.customer.as_ref();
+        let own = customer.and_then(|customer| customer.priority);
+        own.unwrap_or(self.route.priority).min(MAX_PRIORITY)
+    }
+}
+
+/// A request in progress at a backend server. It is noted as ended when this is dropped.
+pub struct InFlight {
+    shared: Rc<Shared>,
+    /// The server.
+    pub worker: WorkerId,
+    unread: Cell<Tokens>,
+}
+
+impl InFlight {
+    /// Notes that a request is sent.
+    #[must_use]
+    pub fn begin(shared: &Rc<Shared>, choice: &Choice) -> Self {
+        if let Some(backend) = shared.state.borrow_mut().backends.get_mut(choice.worker) {
+            backend.note_sent(choice.unread);
+        }
+        Self {
+            shared: Rc::clone(shared),
+            worker: choice.worker,
+            unread: Cell::new(choice.unread),
+        }
+    }
+
+    /// Notes that the first token has come.
+    pub fn first_token(&self) {
+        let unread = self.unread.replace(Tokens(0));
+        let mut state = self.shared.state.borrow_mut();
+        if let Some(backend) = state.backends.get_mut(self.worker) {
+            backend.note_read(unread);
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.first_token();
+        let mut state = self.shared.state.borrow_mut();
+        if let Some(backend) = state.backends.get_mut(self.worker) {
+            backend.note_ended();
+        }
+    }
+}
+
+/// What became of one try to have a request served.
+#[derive(Debug)]
+pub struct Failed {
+    /// What happened, for the log.
+    pub what: String,
+    /// Whether the server may have run it.
+    pub verdict: Verdict,
+    /// Whether no connection could be opened, so that nothing was sent.
+    pub is_unsent: bool,
+}
--- /dev/null
+++ b/src/gateway/notice.rs
@@ -0,0 +1,109 @@
+//! What gateways tell each other without being asked.
+
+use {
+    cactusspur_core::{DurationMs, TimeMs, WeightsVersion, WorkerId, gateway::PartNote},
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// What a gateway tells its peers from time to time, and when something has changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// The sender's name.
+    pub name: String,
+    /// Where the sender listens for peers.
+    pub address: Option<SocketAddr>,
+    /// The newest change that the sender knows of each watched table.
+    pub newest: Vec<(String, u64)>,
+    /// Parts of prompts that backend servers hold or are reading.
+    pub parts: Vec<PartNote>,
+    /// What the sender is doing as the holder of the lease on orders.
+    pub rollout: Option<RolloutNotice>,
+    /// Whether the sender is shutting down.
+    pub is_stopping: bool,
+}
+
+/// What the holder of the lease on orders tells.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutNotice {
+    /// The model.
+    pub model: String,
+    /// The weights that are rolled out.
+    pub version: WeightsVersion,
+    /// Engines that are about to change their weights.
+    pub spared: Vec<WorkerId>,
+    /// Engines that have them.
+    pub done: Vec<WorkerId>,
+}
+
+/// Other gateways that are known.
+#[derive(Debug, Default)]
+pub struct Peers {
+    rows: Vec<Peer>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    address: SocketAddr,
+    name: String,
+    heard_at_ms: Option<TimeMs>,
+    is_stopping: bool,
+}
+
+/// How long a peer counts as running after it was last heard.
+const RUNNING_MS: DurationMs = DurationMs(4_000);
+impl Peers {
+    /// Notes an address at which a peer may listen.
+    pub fn add(&mut self, address: SocketAddr) {
+        if let Err(at) = self.search(address) {
+            self.rows.insert(
+                at,
+                Peer {
+                    address,
+                    name: String::new(),
+                    heard_at_ms: None,
+                    is_stopping: false,
+                },
+            );
+        }
+    }
+
+    /// Notes that a peer was heard.
+    pub fn heard(&mut self, address: SocketAddr, name: &str, is_stopping: bool, now: TimeMs) {
+        self.add(address);
+        if let Ok(at) = self.search(address) {
+            let peer = &mut self.rows[at];
+            peer.heard_at_ms = Some(now);
+            peer.is_stopping = is_stopping;
+            if peer.name != name {
+                name.clone_into(&mut peer.name);
+            }
+        }
+    }
+
+    /// All addresses.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.rows.iter().map(|peer| peer.address)
+    }
+
+    /// The names of peers that run.
+    pub fn running(&self, now: TimeMs) -> impl Iterator<Item = &str> {
+        let heard = self.rows.iter().filter(move |peer| {
+            let heard = peer.heard_at_ms;
+            heard.is_some_and(|at| now.since(at) < RUNNING_MS) && !peer.is_stopping
+        });
+        heard.map(|peer| peer.name.as_str())
+    }
+
+    /// The gateways that share a common budget, this one included. One that isn't heard any more
+    /// counts, since it may go on spending behind a cut.
+    #[must_use]
+    pub const fn sharing(&self) -> usize {
+        1 + self.rows.len()
+    }
+
+    fn search(&self, address: SocketAddr) -> Result<usize, usize> {
+        self.rows
+            .binary_search_by(|peer| peer.address.cmp(&address))
+    }
+}
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,300 @@
+//! What gateways tell each other and ask of each other.
+//!
+//! Notices go as datagrams: a lost one is made good by the next. A gateway that hears of a newer
+//! version of a table than it has, for longer than its own poll should take, pulls the tables
+//! from the peer that told it.
+
+use {
+    super::{GatewayError, GatewaySettings, Shared, clock::now, notice::Notice, watch},
+    crate::{
+        peer::{Answer, Ask, Envelope, PeerKey, PeerLink, PeerServer, SealedAsk},
+        timeline::HybridTime,
+    },
+    bytes::Bytes,
+    cactusspur_core::{EntryId, Table, gateway::PartNote},
+    error_stack::{Report, ResultExt},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{net::UdpSocket, time::sleep},
+};
+
+/// How often a gateway tells its peers that it runs and what it knows.
+const NOTICE_PERIOD: Duration = Duration::from_secs(1);
+/// How long notes about cached parts wait for others to travel with.
+const NOTES_WAIT: Duration = Duration::from_millis(30);
+/// Notes about cached parts in one datagram; more would not fit into one packet.
+const MAX_NOTES: usize = 60;
+/// How long a gateway waits for its own poll before it pulls a newer version from a peer.
+const PULL_AFTER: Duration = Duration::from_millis(200);
+/// The largest datagram.
+const MAX_DATAGRAM_BYTES: usize = 8_192;
+/// Peers that are told, from this one's place in the order of addresses on.
+const MAX_TOLD: usize = 12;
+
+/// The ways to other gateways.
+pub struct PeerGroup {
+    socket: UdpSocket,
+    key: PeerKey,
+    me: EntryId,
+    name: String,
+    address: SocketAddr,
+    number: Cell<u64>,
+    links: RefCell<Table<SocketAddr, Rc<PeerLink>>>,
+    notes: RefCell<Vec<PartNote>>,
+    is_flush_due: Cell<bool>,
+    is_pulling: Cell<bool>,
+    rollout: RefCell<Option<super::notice::RolloutNotice>>,
+}
+
+impl PeerGroup {
+    /// Binds the address for datagrams.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be bound, or the shared key is too short.
+    pub async fn bind(settings: &GatewaySettings) -> Result<Self, Report<GatewayError>> {
+        let socket = UdpSocket::bind(settings.peers_address)
+            .await
+            .change_context(GatewayError)
+            .attach(settings.peers_address)?;
+        let key = PeerKey::derive(&settings.shared_key).change_context(GatewayError)?;
+        Ok(Self {
+            socket,
+            key,
+            me: EntryId::of(&settings.name),
+            name: settings.name.clone(),
+            address: settings.peers_address,
+            number: Cell::new(0),
+            links: RefCell::default(),
+            notes: RefCell::default(),
+            is_flush_due: Cell::new(false),
+            is_pulling: Cell::new(false),
+            rollout: RefCell::default(),
+        })
+    }
+
+    /// Tells all peers what this gateway knows.
+    pub fn announce(&self, shared: &Shared) {
+        let notice = self.notice(shared, Vec::new());
+        self.send(shared, notice);
+    }
+
+    /// Tells all peers what this gateway does as the holder of the lease on orders.
+    pub fn announce_rollout(&self, shared: &Shared, rollout: super::notice::RolloutNotice) {
+        self.rollout.replace(Some(rollout));
+        self.announce(shared);
+        self.rollout.replace(None);
+    }
+
+    /// Tells all peers soon which parts a backend server holds.
+    pub fn note_parts(&self, shared: &Rc<Shared>, notes: &[PartNote]) {
+        self.notes.borrow_mut().extend_from_slice(notes);
+        if self.is_flush_due.replace(true) {
+            return;
+        }
+        let shared = Rc::clone(shared);
+        ntex::rt::spawn(async move {
+            sleep(NOTES_WAIT).await;
+            let peers = &shared.peers;
+            peers.is_flush_due.set(false);
+            let notes = peers.notes.take();
+            for chunk in notes.chunks(MAX_NOTES) {
+                let notice = peers.notice(&shared, chunk.to_vec());
+                peers.send(&shared, notice);
+            }
+        });
+    }
+
+    /// Pulls the tables from the first peer that answers.
+    pub async fn pull_from_any(&self, shared: &Rc<Shared>) {
+        if self.is_pulling.replace(true) {
+            return;
+        }
+        let addresses: Vec<SocketAddr> = shared.state.borrow().peers.addresses().collect();
+        for address in addresses {
+            if self.pull(shared, address).await {
+                break;
+            }
+        }
+        self.is_pulling.set(false);
+    }
+
+    /// Pulls the tables from one peer. Gives back whether it answered.
+    async fn pull(&self, shared: &Rc<Shared>, address: SocketAddr) -> bool {
+        let link = Rc::clone(self.links.borrow_mut().get_or_insert_with(address, || {
+            Rc::new(PeerLink::open(address, self.key.clone()))
+        }));
+        let ask = self.envelope(Ask::PullTables);
+        match link.ask(now(), &ask).await {
+            Ok(Envelope {
+                message: Answer::Tables(tables),
+                ..
+            }) => {
+                let heads: Vec<u64> = tables.iter().map(|table| table.head).collect();
+                tracing::info!(%address, ?heads, "tables pulled from a peer");
+                let any = !tables.is_empty();
+                for table in tables {
+                    watch::replace(shared, table);
+                }
+                any
+            }
+            Ok(_) => false,
+            Err(report) => {
+                tracing::debug!(%address, ?report, "a peer did not answer");
+                false
+            }
+        }
+    }
+
+    fn notice(&self, shared: &Shared, parts: Vec<PartNote>) -> Notice {
+        Notice {
+            name: self.name.clone(),
+            address: Some(self.address),
+            newest: shared.state.borrow().replica.newest(),
+            parts,
+            rollout: self.rollout.borrow().clone(),
+            is_stopping: shared.is_stopping.get(),
+        }
+    }
+
+    fn send(&self, shared: &Shared, notice: Notice) {
+        let ask = self.envelope(Ask::Notice(notice));
+        let sealed: Bytes = match SealedAsk::seal(&self.key, &ask) {
+            Ok(sealed) => sealed.into(),
+            Err(error) => {
+                tracing::error!(%error, "a notice can't be written");
+                return;
+            }
+        };
+        let state = shared.state.borrow();
+        let addresses: Vec<SocketAddr> = state.peers.addresses().collect();
+        let own_place = addresses.partition_point(|address| *address < self.address);
+        let told = addresses.iter().cycle().skip(own_place);
+        for address in told.take(addresses.len().min(MAX_TOLD)) {
+            if let Err(error) = self.socket.try_send_to(&sealed, *address) {
+                // The next notice says the same.
+                tracing::debug!(%address, %error, "a notice was not sent");
+            }
+        }
+    }
+
+    fn envelope<M>(&self, message: M) -> Envelope<M> {
+        self.number.set(self.number.get() + 1);
+        Envelope {
+            from: self.me,
+            incarnation: 0,
+            number: self.number.get(),
+            sent_at: HybridTime::default(),
+            message,
+        }
+    }
+}
+
+/// Starts to tell peers, and to hear and answer them.
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub fn spawn(shared: &Rc<Shared>) -> Result<(), Report<GatewayError>> {
+    let answering = Rc::clone(shared);
+    let server = PeerServer::bind(
+        shared.settings.peers_address,
+        shared.peers.key.clone(),
+        move |ask| answer(&answering, ask),
+    )
+    .change_context(GatewayError)?;
+    ntex::rt::spawn(hear(Rc::clone(shared), server));
+    ntex::rt::spawn(tell(Rc::clone(shared)));
+    Ok(())
+}
+
+fn answer(shared: &Rc<Shared>, ask: Envelope<Ask>) -> Envelope<Answer> {
+    let message = match ask.message {
+        Ask::PullTables => Answer::Tables(shared.state.borrow().replica.copies()),
+        _ => Answer::UpToDate,
+    };
+    Envelope {
+        number: ask.number,
+        ..shared.peers.envelope(message)
+    }
+}
+
+async fn tell(shared: Rc<Shared>) {
+    loop {
+        shared.peers.announce(&shared);
+        shared.links.expire();
+        sleep(NOTICE_PERIOD).await;
+    }
+}
+
+/// Takes datagrams in. The server for asks lives as long as this does.
+async fn hear(shared: Rc<Shared>, _server: PeerServer) {
+    // How long to wait after the system refused to receive.
+    const BACK_OFF: Duration = Duration::from_millis(100);
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        match shared.peers.socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => {
+                let sealed = SealedAsk::from(Bytes::copy_from_slice(&buffer[..length]));
+                match sealed.open(&shared.peers.key) {
+                    Ok(Envelope {
+                        message: Ask::Notice(notice),
+                        ..
+                    }) => take_in(&shared, &notice),
+                    Ok(_) => {}
+                    Err(error) => tracing::debug!(%error, "not a peer's datagram"),
+                }
+            }
+            Err(error) => {
+                tracing::debug!(%error, "no datagram was received");
+                sleep(BACK_OFF).await;
+            }
+        }
+    }
+}
+
+fn take_in(shared: &Rc<Shared>, notice: &Notice) {
+    let Some(address) = notice.address else {
+        return;
+    };
+    let now = now();
+    let mut state = shared.state.borrow_mut();
+    state
+        .peers
+        .heard(address, &notice.name, notice.is_stopping, now);
+    state.note_parts(&notice.parts, now);
+    if let Some(rollout) = &notice.rollout {
+        state.note_rollout(rollout, now);
+    }
+    if is_behind(&state.replica.newest(), &notice.newest) {
+        drop(state);
+        ntex::rt::spawn(pull_later(
+            Rc::clone(shared),
+            address,
+            notice.newest.clone(),
+        ));
+    }
+}
+
+fn is_behind(own: &[(String, u64)], told: &[(String, u64)]) -> bool {
+    told.iter().any(|(table, head)| {
+        let known = own.iter().find(|row| row.0 == *table);
+        known.is_none_or(|row| row.1 < *head)
+    })
+}
+
+async fn pull_later(shared: Rc<Shared>, address: SocketAddr, told: Vec<(String, u64)>) {
+    if shared.peers.is_pulling.get() {
+        return;
+    }
+    sleep(PULL_AFTER).await;
+    let still_behind = is_behind(&shared.state.borrow().replica.newest(), &told);
+    if still_behind && !shared.peers.is_pulling.replace(true) {
+        shared.peers.pull(&shared, address).await;
+        shared.peers.is_pulling.set(false);
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,267 @@
+//! Passes a stream of events on, whole event by whole event, and has it resumed elsewhere when
+//! it breaks off and that is allowed.
+
+use {
+    super::{
+        Shared,
+        answer::{AnswerBody, Incomplete, RelayedBody},
+        call::{Call, InFlight},
+        clock::now,
+        event_stream::EventReader,
+        forward,
+        link::{Connection, Reply},
+    },
+    bytes::Bytes,
+    cactusspur_core::{
+        DurationMs, WorkerId,
+        gateway::{CallKind, Choice},
+    },
+    futures::future::abortable,
+    http::Response,
+    http_body_util::BodyExt,
+    hyper::body::Incoming,
+    std::{rc::Rc, time::Duration},
+    tokio::{sync::mpsc, time::timeout},
+};
+
+/// Pieces that wait for the caller; further ones wait at the backend server.
+const MAX_WAITING_PIECES: usize = 8;
+/// How many times the route's longest pause a resumable stream may be silent.
+const SILENT_GAPS: u64 = 3;
+/// How many times the route's target a resumable stream may take to its first event, in percent,
+/// beside what was predicted.
+const FIRST_EVENT_PERCENT: u64 = 100;
+
+/// Starts to pass a stream on.
+pub fn begin(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    choice: Choice,
+    reply: Reply,
+    in_flight: InFlight,
+) -> Response<AnswerBody> {
+    let (sender, pieces) = mpsc::channel(MAX_WAITING_PIECES);
+    let mut response = Response::builder().status(reply.head.status);
+    if let Some(headers) = response.headers_mut() {
+        *headers = forward::give_back(shared, &reply.head);
+    }
+    let relay = Relay {
+        shared: Rc::clone(shared),
+        call: Rc::clone(call),
+        sender,
+        last_event: call.head.last_event,
+        events: 0,
+        tried: vec![choice.worker],
+    };
+    let (relaying, abort) = abortable(relay.run(Source::new(choice, reply, in_flight)));
+    ntex::rt::spawn(relaying);
+    let body = AnswerBody::Relayed(RelayedBody::new(pieces, abort));
+    response
+        .body(body)
+        .unwrap_or_else(|_| super::answer::plain(http::StatusCode::BAD_GATEWAY))
+}
+
+/// A backend server that streams.
+struct Source {
+    choice: Choice,
+    body: Incoming,
+    connection: Connection,
+    keep_ms: DurationMs,
+    in_flight: InFlight,
+    reader: EventReader,
+}
+
+impl Source {
+    fn new(choice: Choice, reply: Reply, in_flight: InFlight) -> Self {
+        let (_, body, connection, keep_ms) = reply.into_parts();
+        Self {
+            choice,
+            body,
+            connection,
+            keep_ms,
+            in_flight,
+            reader: EventReader::default(),
+        }
+    }
+}
+
+/// How a source ended.
+enum Ended {
+    /// The stream is complete.
+    Complete,
+    /// The caller has left.
+    CallerLeft,
+    /// It broke off.
+    Broken(String),
+}
+
+struct Relay {
+    shared: Rc<Shared>,
+    call: Rc<Call>,
+    sender: mpsc::Sender<Result<Bytes, Incomplete>>,
+    last_event: Option<u64>,
+    events: u64,
+    tried: Vec<WorkerId>,
+}
+
+impl Relay {
+    async fn run(mut self, source: Source) {
+        let mut source = source;
+        loop {
+            let worker = source.choice.worker;
+            let ended = self.pass_on(&mut source).await;
+            match ended {
+                Ended::Complete => {
+                    self.note(worker, true);
+                    self.log(worker, "complete");
+                    self.shared
+                        .links
+                        .give_back(source.connection, source.keep_ms);
+                    return;
+                }
+                Ended::CallerLeft => {
+                    self.log(worker, "caller left");
+                    return;
+                }
+                Ended::Broken(what) => {
+                    self.note(worker, false);
+                    self.log(worker, &what);
+                    // The run there ends before another one begins.
+                    drop(source);
+                }
+            }
+            match self.resume().await {
+                Some(next) => source = next,
+                None => {
+                    // The caller may have left meanwhile.
+                    let _ = self.sender.send(Err(Incomplete)).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Passes events on until the source ends.
+    async fn pass_on(&mut self, source: &mut Source) -> Ended {
+        loop {
+            let Some(limit) = self.silence_limit(source) else {
+                return Ended::Broken("out of time".to_owned());
+            };
+            let frame = match timeout(limit, source.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(error))) => return Ended::Broken(format!("broke off: {error}")),
+                Ok(None) if source.reader.has_partial() => {
+                    return Ended::Broken("ended within an event".to_owned());
+                }
+                Ok(None) => return Ended::Complete,
+                Err(_) => return Ended::Broken("silent".to_owned()),
+            };
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            if let Err(error) = source.reader.push(&bytes) {
+                return Ended::Broken(error.to_string());
+            }
+            if !self.pass_events(source).await {
+                return Ended::CallerLeft;
+            }
+        }
+    }
+
+    /// Passes on the whole events that have come. Gives back whether the caller is still there.
+    async fn pass_events(&mut self, source: &mut Source) -> bool {
+        for event in source.reader.by_ref() {
+            if self.events == 0 {
+                source.in_flight.first_token();
+                self.call.note_parts(&self.shared, &source.choice, true);
+                self.log(source.choice.worker, "first event");
+            }
+            self.events += 1;
+            let is_repeated = match (event.id, self.last_event) {
+                (Some(id), Some(last)) => id <= last,
+                _ => false,
+            };
+            if is_repeated {
+                continue;
+            }
+            self.last_event = event.id.or(self.last_event);
+            if self.sender.send(Ok(event.bytes)).await.is_err() {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// How long the source may be silent; none when the time is over.
+    fn silence_limit(&self, source: &Source) -> Option<Duration> {
+        let left_ms = self.call.left_ms().0;
+        if left_ms == 0 {
+            return None;
+        }
+        if !self.may_resume() {
+            return Some(Duration::from_millis(left_ms));
+        }
+        let silent_ms = if self.events == 0 {
+            let target_ms = self.call.route.target_ms.0 * FIRST_EVENT_PERCENT / 100;
+            target_ms + source.choice.first_token_ms.0
+        } else {
+            let gap = self
+                .call
+                .route
+                .event_gap_ms
+                .unwrap_or(self.call.route.target_ms);
+            gap.0 * SILENT_GAPS
+        };
+        Some(Duration::from_millis(left_ms.min(silent_ms)))
+    }
+
+    fn may_resume(&self) -> bool {
+        self.call.kind() == CallKind::Stream { resumable: true }
+            && self.tried.len() < self.call.route.max_backends
+    }
+
+    /// Has the stream go on at another server.
+    async fn resume(&mut self) -> Option<Source> {
+        while self.may_resume() && self.call.left_ms() > DurationMs(0) {
+            let service = &self.call.service;
+            if !self.shared.state.borrow_mut().spend_repeat(service, now()) {
+                tracing::info!(request = self.call.head.request_id, "no repeat is left");
+                return None;
+            }
+            let choice = self.call.choose(&self.shared, &self.tried)?;
+            self.tried.push(choice.worker);
+            let limit = Duration::from_millis(self.call.left_ms().0);
+            let sent = forward::send(&self.shared, &self.call, &choice, self.last_event);
+            match timeout(limit, sent).await {
+                Ok(Ok((reply, head, in_flight)))
+                    if reply.head.status.is_success() && head.is_signed =>
+                {
+                    self.log(choice.worker, "resumed");
+                    return Some(Source::new(choice, reply, in_flight));
+                }
+                Ok(Ok((reply, ..))) => {
+                    self.note(choice.worker, false);
+                    let status = reply.head.status;
+                    self.log(choice.worker, &format!("not resumed: {status}"));
+                }
+                Ok(Err(failed)) => self.log(choice.worker, &failed.what),
+                Err(_) => self.log(choice.worker, "out of time"),
+            }
+        }
+        None
+    }
+
+    fn note(&self, worker: WorkerId, succeeded: bool) {
+        if let Some(backend) = self.shared.state.borrow_mut().backends.get_mut(worker) {
+            backend.note_result(succeeded, now());
+        }
+    }
+
+    fn log(&self, worker: WorkerId, what: &str) {
+        tracing::info!(
+            request = self.call.head.request_id, route = self.call.route.name, %worker,
+            events = self.events, last_event = self.last_event,
+            after_ms = now().since(self.call.arrived_ms).0, what, "stream"
+        );
+    }
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,256 @@
+//! What a gateway believes: the configuration, the backend servers and their caches, the newest
+//! weights, and its budget for repeats.
+
+use {
+    super::{
+        GatewaySettings,
+        dialect::{Dialect, Update},
+        notice::{Peers, RolloutNotice},
+        replica::{Replica, StoredRow},
+    },
+    cactusspur_core::{
+        DurationMs, Table, TimeMs, WeightsVersion, WorkerId,
+        gateway::{BackendTable, CachedParts, NamedWeights, PartNote, RetryBudget, RoutingTable},
+    },
+    std::rc::Rc,
+};
+
+/// How long a server whose entry vanished while the store was away stays in use: it comes back
+/// within two seconds of the store's return if it lives, and must be out of use soon after.
+const VANISHED_MS: DurationMs = DurationMs(1_700);
+/// How long after an outage of the store vanished entries get that respite.
+const OUTAGE_RECENT_MS: DurationMs = DurationMs(3_000);
+/// How long an engine is spared after the holder of the lease on orders told so last.
+const SPARED_MS: DurationMs = DurationMs(500);
+
+/// What a gateway believes.
+pub struct State {
+    /// Copies of the watched tables.
+    pub replica: Replica,
+    /// The configuration in force.
+    pub routing: Option<Rc<RoutingTable>>,
+    /// The backend servers.
+    pub backends: BackendTable,
+    /// Who holds which parts of prompts.
+    pub cached: CachedParts,
+    /// What may be repeated.
+    pub budget: RetryBudget,
+    /// The newest weights by model.
+    pub weights: Table<String, NamedWeights>,
+    /// Other gateways.
+    pub peers: Peers,
+    /// When another gateway was last heard to be rolling weights out.
+    pub rollout_heard_at_ms: Option<TimeMs>,
+    old_weights_ms: DurationMs,
+    outage_at_ms: Option<TimeMs>,
+    vanished: Table<WorkerId, TimeMs>,
+    watched: usize,
+}
+
+impl State {
+    /// Nothing is known yet.
+    #[must_use]
+    pub fn new(settings: &GatewaySettings) -> Self {
+        let mut peers = Peers::default();
+        for seed in &settings.seed_addresses {
+            if *seed != settings.peers_address {
+                peers.add(*seed);
+            }
+        }
+        Self {
+            replica: Replica::default(),
+            routing: None,
+            backends: BackendTable::default(),
+            cached: CachedParts::default(),
+            budget: RetryBudget::new(settings.budget),
+            weights: Table::default(),
+            peers,
+            rollout_heard_at_ms: None,
+            old_weights_ms: settings.old_weights_ms,
+            outage_at_ms: None,
+            vanished: Table::default(),
+            watched: 0,
+        }
+    }
+
+    /// Says how many tables must be known before it can serve.
+    pub fn expect_tables(&mut self, tables: usize) {
+        self.watched = tables;
+    }
+
+    /// Whether all tables are known and the configuration is.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.routing.is_some() && self.replica.newest().len() >= self.watched
+    }
+
+    /// Notes a caller's request for a service.
+    pub fn note_arrival(&mut self, service: &str, now: TimeMs) {
+        self.budget.deposit(service, self.peers.sharing(), now);
+    }
+
+    /// Takes a repeat for a service out of the budget, if one is left.
+    pub fn spend_repeat(&mut self, service: &str, now: TimeMs) -> bool {
+        self.budget.withdraw(service, self.peers.sharing(), now)
+    }
+
+    /// Notes that the store did not answer.
+    pub fn note_outage(&mut self, now: TimeMs) {
+        self.outage_at_ms = Some(now);
+    }
+
+    /// Takes new rows in. Gives back whether engines or named weights have changed.
+    pub fn apply(
+        &mut self,
+        dialect: &dyn Dialect,
+        table: &str,
+        rows: &[StoredRow],
+        now: TimeMs,
+    ) -> bool {
+        let mut changed = false;
+        for row in rows {
+            changed |= match &row.value {
+                Some(value) => {
+                    let update = dialect.read_row(table, &row.key, value);
+                    self.take_in(dialect, table, row, update, now)
+                }
+                None => self.take_out(dialect, table, row, now),
+            };
+        }
+        changed
+    }
+
+    fn take_in(
+        &mut self,
+        dialect: &dyn Dialect,
+        table: &str,
+        row: &StoredRow,
+        update: Option<Update>,
+        now: TimeMs,
+    ) -> bool {
+        match update {
+            Some(Update::Routing(routing)) => {
+                self.take_routing(*routing, row.version);
+                false
+            }
+            Some(Update::Weights { model, version }) => self.take_weights(model, version, now),
+            Some(Update::Backend(spec)) => {
+                let worker = WorkerId::of(&spec.instance);
+                self.vanished.remove(&worker);
+                tracing::info!(
+                    backend = spec.instance, service = spec.service, address = %spec.address,
+                    is_ready = spec.is_ready, row_version = row.version, "backend server listed"
+                );
+                let restarted = self.backends.upsert(spec);
+                if restarted {
+                    tracing::info!(backend = row.key, "backend server has started anew");
+                    self.cached.forget(worker);
+                }
+                true
+            }
+            None => {
+                tracing::warn!(table, key = row.key, "a row of the store can't be read");
+                // An entry that can't be read names no server to use.
+                if dialect.backend_of_row(table, &row.key).is_some() {
+                    self.take_out(dialect, table, row, now);
+                }
+                false
+            }
+        }
+    }
+
+    fn take_routing(&mut self, routing: RoutingTable, row_version: u64) {
+        let in_force = self.routing.as_ref().map(|known| known.version);
+        if in_force.is_some_and(|version| version >= routing.version) {
+            return;
+        }
+        tracing::info!(
+            version = routing.version,
+            earlier = in_force,
+            row_version,
+            "configuration in force"
+        );
+        self.routing = Some(Rc::new(routing));
+    }
+
+    fn take_weights(&mut self, model: String, version: WeightsVersion, now: TimeMs) -> bool {
+        let known = self.weights.get(&model).map(|named| named.version);
+        if known.is_some_and(|known| known >= version) {
+            return false;
+        }
+        tracing::info!(model, version = version.0, "weights named");
+        let named = NamedWeights {
+            version,
+            heard_at_ms: now,
+            permitted_ms: self.old_weights_ms,
+        };
+        self.weights.insert(model, named);
+        true
+    }
+
+    fn take_out(
+        &mut self,
+        dialect: &dyn Dialect,
+        table: &str,
+        row: &StoredRow,
+        now: TimeMs,
+    ) -> bool {
+        let Some(instance) = dialect.backend_of_row(table, &row.key) else {
+            return false;
+        };
+        let worker = WorkerId::of(&instance);
+        let outage = self.outage_at_ms;
+        let after_outage = outage.is_some_and(|at| now.since(at) < OUTAGE_RECENT_MS);
+        tracing::info!(backend = instance, after_outage, "backend server vanished");
+        if after_outage {
+            self.vanished.insert(worker, now);
+        } else {
+            self.forget_backend(worker);
+        }
+        true
+    }
+
+    /// Takes servers out of use whose entries vanished in an outage and did not come back. Gives
+    /// back whether there was one.
+    pub fn drop_vanished(&mut self, now: TimeMs) -> bool {
+        let overdue: Vec<WorkerId> = self
+            .vanished
+            .iter()
+            .filter(|row| now.since(*row.1) >= VANISHED_MS)
+            .map(|row| *row.0)
+            .collect();
+        for worker in &overdue {
+            self.vanished.remove(worker);
+            self.forget_backend(*worker);
+        }
+        !overdue.is_empty()
+    }
+
+    /// Takes over what the holder of the lease on orders tells.
+    pub fn note_rollout(&mut self, rollout: &RolloutNotice, now: TimeMs) {
+        self.rollout_heard_at_ms = Some(now);
+        for worker in &rollout.spared {
+            if let Some(backend) = self.backends.get_mut(*worker) {
+                backend.held_until_ms = now.after(SPARED_MS);
+            }
+        }
+        for worker in &rollout.done {
+            if let Some(backend) = self.backends.get_mut(*worker) {
+                backend.note_weights(&rollout.model, rollout.version);
+                backend.held_until_ms = TimeMs(0);
+            }
+        }
+    }
+
+    /// Takes over what another gateway has learnt about caches.
+    pub fn note_parts(&mut self, parts: &[PartNote], now: TimeMs) {
+        for note in parts {
+            self.cached.note(*note, now);
+        }
+    }
+
+    fn forget_backend(&mut self, worker: WorkerId) {
+        self.backends.remove(worker);
+        self.cached.forget(worker);
+    }
+}
--- /dev/null
+++ b/src/gateway/watch.rs
@@ -0,0 +1,176 @@
+//! Keeps the copies of the store's tables up to date, by long polls.
+
+use {
+    super::{
+        Shared,
+        clock::now,
+        replica::{StoredRow, TableCopy},
+        store::{Changes, MetadataStore, StoreError},
+    },
+    cactusspur_core::DurationMs,
+    std::{rc::Rc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// How long the store may hold a poll. An answer that takes longer than that shows that the
+/// store, or the way to it, has gone silent.
+const POLL_MS: DurationMs = DurationMs(3_000);
+/// The wait after a first failure; it doubles with each further one. Every call is paid for.
+const MIN_BACK_OFF_MS: u64 = 100;
+/// The longest wait after a failure: part of the time in which a change must be in force after
+/// the store has come back.
+const MAX_BACK_OFF_MS: u64 = 800;
+/// The table in which gateways enter their addresses.
+const GATEWAYS_TABLE: &str = "gateways";
+/// How long to wait before a failed registration is tried again. Peers learn of each other by
+/// notices too, so there is no hurry.
+const REGISTER_RETRY: Duration = Duration::from_secs(2);
+/// How often servers whose entries vanished in an outage are looked at.
+const VANISHED_POLL: Duration = Duration::from_millis(200);
+
+/// Starts to watch all tables.
+pub fn spawn<S>(shared: &Rc<Shared>, store: &Rc<S>)
+where
+    S: MetadataStore,
+{
+    let tables = shared.dialect.tables();
+    shared.state.borrow_mut().expect_tables(tables.len());
+    for table in tables {
+        ntex::rt::spawn(watch(Rc::clone(shared), Rc::clone(store), table));
+    }
+    ntex::rt::spawn(register(Rc::clone(shared), Rc::clone(store)));
+}
+
+/// Enters this gateway's address in the store and learns those of the others. Later ones are
+/// learnt from their notices.
+async fn register<S>(shared: Rc<Shared>, store: Rc<S>)
+where
+    S: MetadataStore,
+{
+    while let Err(error) = register_once(&shared, store.as_ref()).await {
+        tracing::debug!(%error, "this gateway is not registered yet");
+        sleep(REGISTER_RETRY).await;
+    }
+    shared.peers.announce(&shared);
+}
+
+async fn register_once<S>(shared: &Rc<Shared>, store: &S) -> Result<(), StoreError>
+where
+    S: MetadataStore,
+{
+    let listed = store.read_table(GATEWAYS_TABLE).await?;
+    let own = shared.settings.peers_address;
+    let mut known = None;
+    for row in &listed.rows {
+        let value = row.value.as_deref().unwrap_or_default();
+        let Some(address) = std::str::from_utf8(value).ok().and_then(|v| v.parse().ok()) else {
+            tracing::warn!(key = row.key, "a registered address can't be read");
+            continue;
+        };
+        if row.key == shared.settings.name {
+            known = Some((row.version, address));
+        } else if address != own {
+            shared.state.borrow_mut().peers.add(address);
+        }
+    }
+    if known.is_some_and(|(_, address)| address == own) {
+        return Ok(());
+    }
+    let expected = known.map_or(0, |(version, _)| version);
+    let value = own.to_string().into();
+    store
+        .write_row(GATEWAYS_TABLE, &shared.settings.name, expected, value)
+        .await?;
+    Ok(())
+}
+
+async fn watch<S>(shared: Rc<Shared>, store: Rc<S>, table: &'static str)
+where
+    S: MetadataStore,
+{
+    let mut failures: u32 = 0;
+    loop {
+        match poll(&shared, store.as_ref(), table).await {
+            Ok(()) => {
+                if failures > 0 {
+                    tracing::info!(table, failures, "the store answers again");
+                }
+                failures = 0;
+            }
+            Err(error) => {
+                if failures == 0 {
+                    tracing::warn!(table, %error, "the store does not answer");
+                }
+                metrics::counter!("cactusspur_store_failures_total", "table" => table).increment(1);
+                shared.state.borrow_mut().note_outage(now());
+                let wait_ms = (MIN_BACK_OFF_MS << failures.min(6)).min(MAX_BACK_OFF_MS);
+                failures += 1;
+                shared.peers.pull_from_any(&shared).await;
+                sleep(Duration::from_millis(wait_ms)).await;
+            }
+        }
+    }
+}
+
+async fn poll<S>(shared: &Rc<Shared>, store: &S, table: &str) -> Result<(), StoreError>
+where
+    S: MetadataStore,
+{
+    let known = shared.state.borrow().replica.head(table);
+    let Some(head) = known else {
+        let whole = store.read_table(table).await?;
+        replace(shared, whole);
+        return Ok(());
+    };
+    match store.changes(table, head, POLL_MS).await? {
+        Changes::Rows { rows, head } => merge(shared, table, rows, head),
+        Changes::HistoryGone => {
+            tracing::info!(
+                table,
+                head,
+                "the store has dropped its history; reading all"
+            );
+            let whole = store.read_table(table).await?;
+            replace(shared, whole);
+        }
+    }
+    Ok(())
+}
+
+fn merge(shared: &Rc<Shared>, table: &str, rows: Vec<StoredRow>, head: u64) {
+    let fresh = shared.state.borrow_mut().replica.merge(table, rows, head);
+    apply(shared, table, &fresh);
+}
+
+/// Takes a whole table in, from the store or from a peer.
+pub fn replace(shared: &Rc<Shared>, whole: TableCopy) {
+    let table = whole.name.clone();
+    let fresh = shared.state.borrow_mut().replica.replace(whole);
+    apply(shared, &table, &fresh);
+}
+
+fn apply(shared: &Rc<Shared>, table: &str, fresh: &[StoredRow]) {
+    if fresh.is_empty() {
+        return;
+    }
+    let changed = shared
+        .state
+        .borrow_mut()
+        .apply(shared.dialect.as_ref(), table, fresh, now());
+    shared.peers.announce(shared);
+    if changed {
+        shared.weights_changed.notify_one();
+    }
+    ntex::rt::spawn(drop_vanished(Rc::clone(shared)));
+}
+
+async fn drop_vanished(shared: Rc<Shared>) {
+    // Long enough for the respite of an entry that has just vanished to end.
+    const ROUNDS: u32 = 10;
+    for _ in 0..ROUNDS {
+        sleep(VANISHED_POLL).await;
+        if shared.state.borrow_mut().drop_vanished(now()) {
+            shared.weights_changed.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/weights.rs
@@ -0,0 +1,350 @@
+//! Brings engines to the newest weights, as the holder of the lease on orders.
+
+use {
+    super::{
+        Shared,
+        clock::now,
+        dialect::{OrderAnswer, WeightsOrder},
+        lease::{self, Acquired, RENEW_BEFORE_MS, Term},
+        notice::RolloutNotice,
+        store::MetadataStore,
+    },
+    cactusspur_core::{
+        DurationMs, WeightsVersion, WorkerId,
+        gateway::{Rollout, RolloutStep, rank},
+    },
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::time::{sleep, timeout},
+};
+
+/// How long each place in the order of gateways waits for those before it to take the lease.
+const TURN_MS: DurationMs = DurationMs(500);
+/// How long a gateway that hears of a rollout by another waits before it looks again.
+const OTHER_ROLLS_MS: DurationMs = DurationMs(800);
+/// The wait after the lease could not be asked for.
+const STORE_BACK_OFF: Duration = Duration::from_millis(400);
+/// How often a rollout looks for its next steps, beside when something has come.
+const STEP_PERIOD: Duration = Duration::from_millis(50);
+/// How often a gateway looks whether weights are behind without having been told.
+const LOOK_PERIOD: Duration = Duration::from_secs(2);
+/// How long an engine may take to answer an order or a question.
+const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+/// The largest answer of an engine, in bytes.
+const MAX_ANSWER_BYTES: usize = 65_536;
+
+/// Starts to look after the engines' weights.
+pub fn spawn<S>(shared: &Rc<Shared>, store: &Rc<S>)
+where
+    S: MetadataStore,
+{
+    ntex::rt::spawn(look_after(Rc::clone(shared), Rc::clone(store)));
+}
+
+async fn look_after<S>(shared: Rc<Shared>, store: Rc<S>)
+where
+    S: MetadataStore,
+{
+    let mut held_last = false;
+    loop {
+        let changed = shared.weights_changed.notified();
+        if timeout(LOOK_PERIOD, changed).await.is_err() && next_model(&shared).is_none() {
+            continue;
+        }
+        while let Some(model) = next_model(&shared) {
+            if shared.is_stopping.get() {
+                return;
+            }
+            if !held_last {
+                sleep(turn(&shared, &model)).await;
+            }
+            if another_rolls(&shared) {
+                held_last = false;
+                sleep(Duration::from_millis(OTHER_ROLLS_MS.0)).await;
+                continue;
+            }
+            match acquire(&shared, store.as_ref()).await {
+                Some(Acquired::Held(term)) => {
+                    held_last = true;
+                    roll_out(&shared, store.as_ref(), &model, term).await;
+                }
+                Some(Acquired::Taken { retry_after_ms }) => {
+                    held_last = false;
+                    let wait = retry_after_ms.max(DurationMs(50)).min(TURN_MS);
+                    sleep(Duration::from_millis(wait.0)).await;
+                }
+                None => sleep(STORE_BACK_OFF).await,
+            }
+        }
+    }
+}
+
+async fn acquire<S>(shared: &Shared, store: &S) -> Option<Acquired>
+where
+    S: MetadataStore,
+{
+    let settings = &shared.settings;
+    match lease::acquire(store, &settings.name, settings.holder_pause_ms).await {
+        Ok(acquired) => {
+            tracing::debug!(?acquired, "lease on orders");
+            Some(acquired)
+        }
+        Err(error) => {
+            tracing::warn!(%error, "the lease on orders could not be asked for");
+            None
+        }
+    }
+}
+
+/// The first model that has engines with older weights than the newest.
+fn next_model(shared: &Shared) -> Option<String> {
+    let state = shared.state.borrow();
+    let behind = state.weights.iter().find(|(model, named)| {
+        let mut weights = state.backends.iter().filter_map(|row| {
+            let usable = row.1.spec.is_ready;
+            usable.then(|| row.1.weights(model)).flatten()
+        });
+        weights.any(|version| version < named.version)
+    });
+    behind.map(|(model, _)| model.clone())
+}
+
+/// How long this gateway leaves the lease to others. All gateways agree on the order without
+/// talking, so that one asks the store instead of all.
+fn turn(shared: &Shared, model: &str) -> Duration {
+    let own = rank_of(&shared.settings.name, model);
+    let state = shared.state.borrow();
+    let running = state.peers.running(now());
+    let before = running.filter(|name| rank_of(name, model) > own).count();
+    Duration::from_millis(TURN_MS.0 * before as u64)
+}
+
+fn rank_of(name: &str, model: &str) -> u64 {
+    rank(WorkerId::of(model).0, WorkerId::of(name))
+}
+
+fn another_rolls(shared: &Shared) -> bool {
+    let heard = shared.state.borrow().rollout_heard_at_ms;
+    heard.is_some_and(|at| now().since(at) < OTHER_ROLLS_MS)
+}
+
+/// Rolls weights out for as long as there is something to do and the lease lasts.
+async fn roll_out<S>(shared: &Rc<Shared>, store: &S, model: &str, term: Term)
+where
+    S: MetadataStore,
+{
+    let mut term = term;
+    let Some(version) = newest(shared, model) else {
+        return;
+    };
+    let mut rollout = Rollout::new(version);
+    let (answers, mut answered) = tokio::sync::mpsc::unbounded_channel();
+    tracing::info!(
+        model,
+        version = version.0,
+        fencing = term.fencing.0,
+        "rollout begins"
+    );
+    loop {
+        if let Some(version) = newest(shared, model) {
+            rollout.raise(version);
+        }
+        rollout.set_engines(&engines(shared, model), now());
+        if rollout.is_done() || shared.is_stopping.get() {
+            break;
+        }
+        if term.left_ms() < RENEW_BEFORE_MS {
+            match acquire(shared, store).await {
+                Some(Acquired::Held(renewed)) => term = renewed,
+                Some(Acquired::Taken { .. }) => break,
+                None if term.left_ms() == DurationMs(0) => break,
+                None => {}
+            }
+        }
+        announce(shared, model, &rollout);
+        for step in rollout.steps(now()) {
+            let step = Step {
+                shared: Rc::clone(shared),
+                model: model.to_owned(),
+                term,
+                step,
+            };
+            let answers = answers.clone();
+            ntex::rt::spawn(async move {
+                let outcome = step.carry_out().await;
+                // The rollout may have ended meanwhile.
+                let _ = answers.send(outcome);
+            });
+        }
+        if let Ok(Some(outcome)) = timeout(STEP_PERIOD, answered.recv()).await {
+            note(shared, model, &mut rollout, outcome);
+        }
+    }
+    announce(shared, model, &rollout);
+    tracing::info!(
+        model,
+        version = rollout.version().0,
+        is_done = rollout.is_done(),
+        "rollout ends"
+    );
+}
+
+fn newest(shared: &Shared, model: &str) -> Option<WeightsVersion> {
+    let state = shared.state.borrow();
+    state
+        .weights
+        .get(&model.to_owned())
+        .map(|named| named.version)
+}
+
+/// Engines that take new work, with the weights that each is believed to have.
+fn engines(shared: &Shared, model: &str) -> Vec<(WorkerId, WeightsVersion)> {
+    let state = shared.state.borrow();
+    let ready = state.backends.iter().filter(|row| row.1.spec.is_ready);
+    ready
+        .filter_map(|(worker, backend)| Some((worker, backend.weights(model)?)))
+        .collect()
+}
+
+fn announce(gateway: &Shared, model: &str, rollout: &Rollout) {
+    let spared = if rollout.is_done() {
+        Vec::new()
+    } else {
+        rollout.spared()
+    };
+    let version = rollout.version();
+    let with_weights = engines(gateway, model);
+    let done = with_weights.iter().filter(|row| row.1 >= version);
+    let notice = RolloutNotice {
+        model: model.to_owned(),
+        version,
+        spared,
+        done: done.map(|row| row.0).collect(),
+    };
+    let mut state = gateway.state.borrow_mut();
+    let heard = state.rollout_heard_at_ms;
+    state.note_rollout(&notice, now());
+    // Only rollouts of others count as heard.
+    state.rollout_heard_at_ms = heard;
+    drop(state);
+    gateway.peers.announce_rollout(gateway, notice);
+}
+
+#[derive(Debug)]
+enum Outcome {
+    State(WorkerId, cactusspur_core::gateway::OrderState),
+    Accepted(WorkerId),
+    Failed(WorkerId),
+}
+
+fn note(shared: &Shared, model: &str, rollout: &mut Rollout, outcome: Outcome) {
+    match outcome {
+        Outcome::State(worker, told) => {
+            let mut state = shared.state.borrow_mut();
+            if let Some(backend) = state.backends.get_mut(worker) {
+                if backend
+                    .weights(model)
+                    .is_some_and(|known| known < told.weights)
+                {
+                    backend.note_weights(model, told.weights);
+                    state.cached.forget(worker);
+                }
+            }
+            rollout.note_state(worker, told, now());
+        }
+        Outcome::Accepted(worker) => rollout.note_accepted(worker, now()),
+        Outcome::Failed(worker) => rollout.note_failed(worker, now()),
+    }
+}
+
+/// One step of a rollout.
+struct Step {
+    shared: Rc<Shared>,
+    model: String,
+    term: Term,
+    step: RolloutStep,
+}
+
+impl Step {
+    async fn carry_out(self) -> Outcome {
+        match self.step {
+            RolloutStep::Ask(worker) => self.ask(worker).await,
+            RolloutStep::Order {
+                worker,
+                version,
+                accepted,
+            } => self.order(worker, version, accepted).await,
+        }
+    }
+
+    fn target(&self, worker: WorkerId) -> Option<(SocketAddr, String)> {
+        let state = self.shared.state.borrow();
+        let spec = &state.backends.get(worker)?.spec;
+        Some((spec.address, spec.instance.clone()))
+    }
+
+    async fn ask(&self, worker: WorkerId) -> Outcome {
+        let Some((address, instance)) = self.target(worker) else {
+            return Outcome::Failed(worker);
+        };
+        let request = self.shared.dialect.ask_state(&instance);
+        let exchange = async {
+            let reply = self.shared.links.send(address, request).await?;
+            reply.read(&self.shared.links, MAX_ANSWER_BYTES).await
+        };
+        match timeout(ANSWER_LIMIT, exchange).await {
+            Ok(Ok((_, body))) => match self.shared.dialect.read_state(&self.model, &body) {
+                Some(state) => Outcome::State(worker, state),
+                None => Outcome::Failed(worker),
+            },
+            Ok(Err(error)) => {
+                tracing::info!(backend = instance, %error, "an engine did not tell its state");
+                Outcome::Failed(worker)
+            }
+            Err(_) => {
+                tracing::info!(backend = instance, "an engine was silent about its state");
+                Outcome::Failed(worker)
+            }
+        }
+    }
+
+    async fn order(&self, worker: WorkerId, version: WeightsVersion, accepted: u64) -> Outcome {
+        let Some((address, instance)) = self.target(worker) else {
+            return Outcome::Failed(worker);
+        };
+        if self.term.left_ms() == DurationMs(0) {
+            return Outcome::Failed(worker);
+        }
+        let order = WeightsOrder {
+            instance: &instance,
+            model: &self.model,
+            version,
+            holder: &self.shared.settings.name,
+            fencing: self.term.fencing,
+            accepted,
+        };
+        let request = self.shared.dialect.order(&order);
+        let exchange = async {
+            let reply = self.shared.links.send(address, request).await?;
+            reply.read(&self.shared.links, MAX_ANSWER_BYTES).await
+        };
+        let answered = timeout(ANSWER_LIMIT, exchange).await;
+        let status = match &answered {
+            Ok(Ok((head, _))) => Some(head.status.as_u16()),
+            Ok(Err(_)) | Err(_) => None,
+        };
+        tracing::info!(
+            backend = instance,
+            model = self.model,
+            version = version.0,
+            accepted,
+            fencing = self.term.fencing.0,
+            status,
+            "ordered to load weights"
+        );
+        match status.map(|status| self.shared.dialect.read_order_answer(status)) {
+            Some(OrderAnswer::Accepted) => Outcome::Accepted(worker),
+            // Whether it was taken in is read back.
+            Some(OrderAnswer::Holds | OrderAnswer::Refused) | None => Outcome::Failed(worker),
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod daemon;
 pub mod declaration_file;
 pub mod driver;
+pub mod gateway;
 pub mod membership;
 pub mod openai;
 pub mod operator;
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -7,7 +7,11 @@
 
 use {
     super::{MessageError, PeerError},
-    crate::{membership::Heartbeat, timeline::HybridTime},
+    crate::{
+        gateway::{notice::Notice, replica::TableCopy},
+        membership::Heartbeat,
+        timeline::HybridTime,
+    },
     bincode::config::{Configuration, Limit, LittleEndian, Varint},
     bytes::{BufMut, Bytes, BytesMut},
     cactusspur_core::{DurationMs, EntryId, Generation, VmList},
@@ -85,6 +89,10 @@
     },
     /// Asks for the newest known list of VMs.
     Vms,
+    /// Tells what a gateway has learnt. Sent as a datagram, not answered.
+    Notice(Notice),
+    /// Asks a gateway for its copies of tables of the platform's store.
+    PullTables,
 }
 
 /// What the other answers.
@@ -112,6 +120,8 @@
         /// How old it is.
         age_ms: DurationMs,
     },
+    /// A gateway's copies of tables of the platform's store.
+    Tables(Vec<TableCopy>),
 }
 
 /// An ask as it is sent.
