--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -16,6 +16,6 @@
     budget::{BudgetTerms, RetryBudget},
     cached::{CacheScope, CachedParts, PartNote, PromptPart, chain_of, rank, scoped},
     choice::{Choice, Fetch, ModelCall, NamedWeights, Surroundings, choose_model, choose_plain},
-    rollout::{OrderState, Rollout, RolloutStep},
+    rollout::{OrderState, Rollout, RolloutEngine, RolloutStep},
     routing::{CallKind, CallerLimits, CustomerSpec, Route, RoutingTable, ServiceSpec, Split},
 };
--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -82,7 +82,7 @@
     pub now: TimeMs,
 }
 
-/// The newest weights that were named for a model.
+/// Weights that were named for a model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NamedWeights {
     /// Their version.
@@ -104,8 +104,8 @@
     pub parts: &'a [PromptPart],
     /// [`super::chain_of`] the parts.
     pub chain: &'a [u64],
-    /// The newest weights.
-    pub newest: Option<NamedWeights>,
+    /// The weights that were named, oldest first.
+    pub named: &'a [NamedWeights],
 }
 
 /// Chooses the server for a request to a plain service. `draw` spreads equal ones.
@@ -141,7 +141,7 @@
     let mut engines: Vec<(WorkerId, &Backend, WeightsVersion)> = around
         .usable(&service.name)
         .filter_map(|(worker, backend)| Some((worker, backend, backend.weights(call.model)?)))
-        .filter(|engine| is_permitted(engine.2, call.newest, around.now))
+        .filter(|engine| is_permitted(engine.2, call.named, around.now))
         .collect();
     engines.sort_by_key(|engine| std::cmp::Reverse(rank(home_key, engine.0)));
     let predictions = engines.iter().enumerate();
@@ -151,11 +151,19 @@
         .map(|(_, choice)| choice)
 }
 
-fn is_permitted(weights: WeightsVersion, newest: Option<NamedWeights>, now: TimeMs) -> bool {
-    newest.is_none_or(|named| {
-        let permitted = named.permitted_ms.saturating_sub(OLD_WEIGHTS_MARGIN_MS);
-        weights >= named.version || now.since(named.heard_at_ms) < permitted
-    })
+/// How long ago weights were outdated by the first newer ones; none when there are no newer ones.
+fn outdated_for(
+    weights: WeightsVersion,
+    named: &[NamedWeights],
+    now: TimeMs,
+) -> Option<(DurationMs, DurationMs)> {
+    let newer = named.iter().find(|named| named.version > weights)?;
+    Some((now.since(newer.heard_at_ms), newer.permitted_ms))
+}
+
+fn is_permitted(weights: WeightsVersion, named: &[NamedWeights], now: TimeMs) -> bool {
+    outdated_for(weights, named, now)
+        .is_none_or(|(age, permitted)| age < permitted.saturating_sub(OLD_WEIGHTS_MARGIN_MS))
 }
 
 fn predict(
@@ -194,7 +202,7 @@
         + reread * REREAD_MS_PER_THOUSAND / 1_000
         + backend.occupancy(around.now) * BATCH_MS
         + home_ms
-        + old_weights_ms(weights, call.newest, around.now)
+        + old_weights_ms(weights, call.named, around.now)
         + around.standing_cost(backend);
     let choice = Choice {
         worker,
@@ -237,11 +245,11 @@
     bits / (service.link_mbps.max(1) * 1_000)
 }
 
-fn old_weights_ms(weights: WeightsVersion, newest: Option<NamedWeights>, now: TimeMs) -> u64 {
-    let is_old = newest.is_some_and(|named| {
-        weights < named.version && now.since(named.heard_at_ms) >= OLD_WEIGHTS_FREE_MS
-    });
-    if is_old { OLD_WEIGHTS_MS } else { 0 }
+fn old_weights_ms(weights: WeightsVersion, named: &[NamedWeights], now: TimeMs) -> u64 {
+    match outdated_for(weights, named, now) {
+        Some((age, _)) if age >= OLD_WEIGHTS_FREE_MS => OLD_WEIGHTS_MS,
+        _ => 0,
+    }
 }
 
 impl<'a> Surroundings<'a> {
--- a/core/src/gateway/rollout.rs
+++ b/core/src/gateway/rollout.rs
@@ -13,10 +13,14 @@
     serde::{Deserialize, Serialize},
 };
 
-/// Engines that load weights at once. With more, each load takes longer.
-pub const MAX_LOADS: usize = 2;
-/// Engines that are spared new work ahead of their order, so that their runs have ended by then.
-pub const SPARED_AHEAD: usize = 2;
+/// The share of a model's engines that load weights at once. With more, each load takes longer.
+const LOADING_SHARE: usize = 6;
+/// The share of a model's engines that are spared new work ahead of their order, so that their
+/// runs have ended by then.
+const SPARED_SHARE: usize = 3;
+/// How long an engine is spared before it is ordered though it has not ended its runs: most runs
+/// end within this time.
+const SPARED_LIMIT_MS: DurationMs = DurationMs(1_200);
 /// How long to wait for the answer to a question or an order before asking again.
 const ANSWER_MS: DurationMs = DurationMs(600);
 /// How often an engine that carries an order out is asked whether it is done.
@@ -36,6 +40,19 @@
     pub is_busy: bool,
     /// The weights that it has.
     pub weights: WeightsVersion,
+    /// The requests that it runs.
+    pub running: u64,
+}
+
+/// An engine as a rollout is told of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RolloutEngine {
+    /// The engine.
+    pub worker: WorkerId,
+    /// The weights that it is believed to have.
+    pub weights: WeightsVersion,
+    /// The requests that are probably there.
+    pub occupancy: u64,
 }
 
 /// What the holder of the lease does next.
@@ -56,12 +73,14 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Progress {
-    /// Nothing is known of its orders.
+    /// Not its turn yet.
+    Waiting,
+    /// Spared; nothing is known of its orders.
     Unknown,
-    /// Asked; no answer yet.
+    /// Spared and asked; no answer yet.
     Asked,
-    /// Ready to be ordered.
-    Known { accepted: u64 },
+    /// Spared; it brings its runs to their end.
+    Draining { accepted: u64, running: u64 },
     /// Ordered; it is not known yet whether it has accepted.
     Ordered,
     /// It carries an order out.
@@ -73,7 +92,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Engine {
     progress: Progress,
+    weights: WeightsVersion,
+    occupancy: u64,
     since_ms: TimeMs,
+    spared_since_ms: TimeMs,
     load_began_ms: TimeMs,
     next_ask_ms: TimeMs,
 }
@@ -101,37 +123,34 @@
         self.version
     }
 
-    /// Goes over to newer weights. Engines that were done are asked anew.
+    /// Goes over to newer weights. Engines that were done are behind again.
     pub fn raise(&mut self, version: WeightsVersion) {
-        if version <= self.version {
-            return;
-        }
-        self.version = version;
-        for (_, engine) in self.engines.iter_mut() {
-            if engine.progress == Progress::Done {
-                engine.progress = Progress::Unknown;
-            }
-        }
+        self.version = self.version.max(version);
     }
 
-    /// Takes over which engines there are, and the weights that each is believed to have.
-    pub fn set_engines(&mut self, engines: &[(WorkerId, WeightsVersion)], now: TimeMs) {
+    /// Takes over which engines there are.
+    pub fn set_engines(&mut self, engines: &[RolloutEngine], now: TimeMs) {
         self.engines
-            .retain(|worker, _| engines.iter().any(|row| row.0 == *worker));
-        for (worker, weights) in engines {
-            let is_done = *weights >= self.version;
-            let engine = self.engines.get_or_insert_with(*worker, || Engine {
-                progress: Progress::Unknown,
+            .retain(|worker, _| engines.iter().any(|told| told.worker == *worker));
+        for told in engines {
+            let engine = self.engines.get_or_insert_with(told.worker, || Engine {
+                progress: Progress::Waiting,
+                weights: told.weights,
+                occupancy: told.occupancy,
                 since_ms: now,
+                spared_since_ms: now,
                 load_began_ms: now,
                 next_ask_ms: now,
             });
-            if is_done {
+            engine.weights = told.weights;
+            engine.occupancy = told.occupancy;
+            if told.weights >= self.version {
                 engine.progress = Progress::Done;
             } else if engine.progress == Progress::Done {
-                engine.progress = Progress::Unknown;
+                engine.progress = Progress::Waiting;
             }
         }
+        self.spare(now);
     }
 
     /// Whether all engines have the weights.
@@ -141,59 +160,53 @@
         engines.all(|(_, engine)| engine.progress == Progress::Done)
     }
 
-    /// Engines that are changing their weights, and the next ones in line.
+    /// Engines that are changing their weights or are about to.
     #[must_use]
     pub fn spared(&self) -> Vec<WorkerId> {
-        let changing = self.engines.iter().filter(|row| is_changing(row.1));
-        let next = self.engines.iter().filter(|row| {
-            matches!(
-                row.1.progress,
-                Progress::Unknown | Progress::Asked | Progress::Known { .. }
-            )
-        });
-        changing
-            .chain(next.take(SPARED_AHEAD))
-            .map(|row| *row.0)
-            .collect()
+        let spared = self
+            .engines
+            .iter()
+            .filter(|row| !matches!(row.1.progress, Progress::Waiting | Progress::Done));
+        spared.map(|row| *row.0).collect()
     }
 
     /// What is to be done now.
     pub fn steps(&mut self, now: TimeMs) -> Vec<RolloutStep> {
+        let most = self.share(LOADING_SHARE);
+        let mut free = most.saturating_sub(self.loading(now));
+        let version = self.version;
         let mut steps = Vec::new();
-        let mut free = MAX_LOADS.saturating_sub(self.changing(now));
-        let mut ask_ahead = MAX_LOADS + SPARED_AHEAD;
         for (worker, engine) in self.engines.iter_mut() {
+            let worker = *worker;
             let is_overdue = now.since(engine.since_ms) >= ANSWER_MS;
+            let is_due = now >= engine.next_ask_ms;
+            let has_drained = now.since(engine.spared_since_ms) >= SPARED_LIMIT_MS;
             match engine.progress {
-                Progress::Known { accepted } if free > 0 => {
+                Progress::Draining { accepted, running }
+                    if free > 0 && (running == 0 || has_drained) =>
+                {
                     free -= 1;
                     engine.enter(Progress::Ordered, now);
                     engine.load_began_ms = now;
                     steps.push(RolloutStep::Order {
-                        worker: *worker,
-                        version: self.version,
+                        worker,
+                        version,
                         accepted,
                     });
                 }
-                Progress::Known { .. } => ask_ahead = ask_ahead.saturating_sub(1),
-                Progress::Unknown if ask_ahead > 0 && now >= engine.next_ask_ms => {
-                    ask_ahead -= 1;
+                Progress::Unknown if is_due => {
                     engine.enter(Progress::Asked, now);
-                    steps.push(RolloutStep::Ask(*worker));
+                    steps.push(RolloutStep::Ask(worker));
                 }
                 Progress::Asked | Progress::Ordered if is_overdue => {
                     engine.enter(Progress::Asked, now);
-                    steps.push(RolloutStep::Ask(*worker));
+                    steps.push(RolloutStep::Ask(worker));
                 }
-                Progress::Loading if now >= engine.next_ask_ms => {
+                Progress::Loading | Progress::Draining { .. } if is_due => {
                     engine.next_ask_ms = now.after(POLL_MS);
-                    steps.push(RolloutStep::Ask(*worker));
+                    steps.push(RolloutStep::Ask(worker));
                 }
-                Progress::Done
-                | Progress::Asked
-                | Progress::Ordered
-                | Progress::Loading
-                | Progress::Unknown => {}
+                _ => {}
             }
         }
         steps
@@ -212,11 +225,14 @@
                 engine.load_began_ms = now;
             }
             engine.enter(Progress::Loading, now);
-            engine.next_ask_ms = now.after(POLL_MS);
         } else {
-            let accepted = state.accepted;
-            engine.enter(Progress::Known { accepted }, now);
+            let draining = Progress::Draining {
+                accepted: state.accepted,
+                running: state.running,
+            };
+            engine.enter(draining, now);
         }
+        engine.next_ask_ms = now.after(POLL_MS);
     }
 
     /// Notes that an engine has accepted an order.
@@ -227,24 +243,45 @@
         }
     }
 
-    /// Notes that an engine has turned an order down, or could not be asked.
+    /// Notes that an engine has turned an order down, or could not be asked. Others go first.
     pub fn note_failed(&mut self, worker: WorkerId, now: TimeMs) {
         if let Some(engine) = self.engines.get_mut(&worker) {
-            engine.enter(Progress::Unknown, now);
+            engine.enter(Progress::Waiting, now);
             engine.next_ask_ms = now.after(UNREACHABLE_MS);
         }
     }
 
-    fn changing(&self, now: TimeMs) -> usize {
-        let changing = self.engines.iter().filter(|row| is_changing(row.1));
-        changing
-            .filter(|row| now.since(row.1.load_began_ms) < LOAD_LIMIT_MS)
-            .count()
+    /// Spares the next engines in line: those with the oldest weights, and of these the ones with
+    /// the least to bring to its end.
+    fn spare(&mut self, now: TimeMs) {
+        let most = self.share(SPARED_SHARE) + self.share(LOADING_SHARE);
+        let spared = self.spared().len();
+        let mut waiting: Vec<(WeightsVersion, u64, WorkerId)> = self
+            .engines
+            .iter()
+            .filter(|row| row.1.progress == Progress::Waiting && now >= row.1.next_ask_ms)
+            .map(|row| (row.1.weights, row.1.occupancy, *row.0))
+            .collect();
+        waiting.sort_unstable();
+        for (_, _, worker) in waiting.into_iter().take(most.saturating_sub(spared)) {
+            if let Some(engine) = self.engines.get_mut(&worker) {
+                engine.enter(Progress::Unknown, now);
+                engine.spared_since_ms = now;
+            }
+        }
     }
-}
 
-const fn is_changing(engine: &Engine) -> bool {
-    matches!(engine.progress, Progress::Ordered | Progress::Loading)
+    fn share(&self, share: usize) -> usize {
+        self.engines.len().div_ceil(share)
+    }
+
+    fn loading(&self, now: TimeMs) -> usize {
+        let loading = self.engines.iter().filter(|row| {
+            let is_loading = matches!(row.1.progress, Progress::Ordered | Progress::Loading);
+            is_loading && now.since(row.1.load_began_ms) < LOAD_LIMIT_MS
+        });
+        loading.count()
+    }
 }
 
 impl Engine {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -103,7 +103,7 @@
 
 /// How long connections stay open after readiness ended, so that whoever balances callers has
 /// noticed: two misses of a question a second, and one more for the way.
-const UNREADY_FIRST: Duration = Duration::from_millis(3_000);
+const UNREADY_FIRST: Duration = Duration::from_secs(3);
 /// What of the grace period is left when the last requests are cut.
 const GRACE_MARGIN_MS: DurationMs = DurationMs(500);
 /// How often requests in progress are counted during shutdown.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -154,12 +154,13 @@
         let service = self.routing.service(&self.service);
         match (&self.head.prompt, service) {
             (Some(prompt), Some(service)) if !prompt.parts.is_empty() => {
+                let named = state.weights.get(&prompt.model);
                 let call = ModelCall {
                     model: &prompt.model,
                     wall: self.wall(),
                     parts: &prompt.parts,
                     chain: &self.chain,
-                    newest: state.weights.get(&prompt.model).copied(),
+                    named: named.map_or(&[], Vec::as_slice),
                 };
                 choose_model(&around, service, &call)
             }
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -209,7 +209,6 @@
 
     /// The parts of an answer whose body is read piece by piece. The connection is given back
     /// with [`Links::give_back`] after a complete body, and dropped otherwise.
-    #[must_use]
     pub fn into_parts(self) -> (http::response::Parts, Incoming, Connection, DurationMs) {
         (self.head, self.body, self.connection, self.keep_ms)
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -204,7 +204,7 @@
     let server = PeerServer::bind(
         shared.settings.peers_address,
         shared.peers.key.clone(),
-        move |ask| answer(&answering, ask),
+        move |ask| answer(&answering, &ask),
     )
     .change_context(GatewayError)?;
     ntex::rt::spawn(hear(Rc::clone(shared), server));
@@ -212,7 +212,7 @@
     Ok(())
 }
 
-fn answer(shared: &Rc<Shared>, ask: Envelope<Ask>) -> Envelope<Answer> {
+fn answer(shared: &Rc<Shared>, ask: &Envelope<Ask>) -> Envelope<Answer> {
     let message = match ask.message {
         Ask::PullTables => Answer::Tables(shared.state.borrow().replica.copies()),
         _ => Answer::UpToDate,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -130,13 +130,12 @@
                     drop(source);
                 }
             }
-            match self.resume().await {
-                Some(next) => source = next,
-                None => {
-                    // The caller may have left meanwhile.
-                    let _ = self.sender.send(Err(Incomplete)).await;
-                    return;
-                }
+            if let Some(next) = self.resume().await {
+                source = next
+            } else {
+                // The caller may have left meanwhile.
+                let _ = self.sender.send(Err(Incomplete)).await;
+                return;
             }
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,6 +20,9 @@
 const VANISHED_MS: DurationMs = DurationMs(1_700);
 /// How long after an outage of the store vanished entries get that respite.
 const OUTAGE_RECENT_MS: DurationMs = DurationMs(3_000);
+/// Namings of weights that are remembered for a model. The oldest matter only to engines that are
+/// further behind than any may be.
+const MAX_NAMED: usize = 32;
 /// How long an engine is spared after the holder of the lease on orders told so last.
 const SPARED_MS: DurationMs = DurationMs(500);
 
@@ -35,8 +38,8 @@
     pub cached: CachedParts,
     /// What may be repeated.
     pub budget: RetryBudget,
-    /// The newest weights by model.
-    pub weights: Table<String, NamedWeights>,
+    /// The weights that were named, oldest first, by model.
+    pub weights: Table<String, Vec<NamedWeights>>,
     /// Other gateways.
     pub peers: Peers,
     /// When another gateway was last heard to be rolling weights out.
@@ -174,20 +177,29 @@
     }
 
     fn take_weights(&mut self, model: String, version: WeightsVersion, now: TimeMs) -> bool {
-        let known = self.weights.get(&model).map(|named| named.version);
-        if known.is_some_and(|known| known >= version) {
+        if self.newest_weights(&model) >= Some(version) {
             return false;
         }
         tracing::info!(model, version = version.0, "weights named");
-        let named = NamedWeights {
+        let named = self.weights.get_or_insert_with(model, Vec::new);
+        if named.len() >= MAX_NAMED {
+            named.remove(0);
+        }
+        named.push(NamedWeights {
             version,
             heard_at_ms: now,
             permitted_ms: self.old_weights_ms,
-        };
-        self.weights.insert(model, named);
+        });
         true
     }
 
+    /// The newest weights that were named for a model.
+    #[must_use]
+    pub fn newest_weights(&self, model: &str) -> Option<WeightsVersion> {
+        let named = self.weights.get(&model.to_owned())?;
+        named.last().map(|named| named.version)
+    }
+
     fn take_out(
         &mut self,
         dialect: &dyn Dialect,
--- a/src/gateway/weights.rs
+++ b/src/gateway/weights.rs
@@ -10,8 +10,8 @@
         store::MetadataStore,
     },
     cactusspur_core::{
-        DurationMs, WeightsVersion, WorkerId,
-        gateway::{Rollout, RolloutStep, rank},
+        DurationMs, TimeMs, WeightsVersion, WorkerId,
+        gateway::{Rollout, RolloutEngine, RolloutStep, rank},
     },
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
@@ -27,6 +27,9 @@
 const STEP_PERIOD: Duration = Duration::from_millis(50);
 /// How often a gateway looks whether weights are behind without having been told.
 const LOOK_PERIOD: Duration = Duration::from_secs(2);
+/// How often peers are told of a rollout that has not changed: more often than an engine that is
+/// spared is forgotten to be.
+const ANNOUNCE_PERIOD_MS: DurationMs = DurationMs(200);
 /// How long an engine may take to answer an order or a question.
 const ANSWER_LIMIT: Duration = Duration::from_millis(500);
 /// The largest answer of an engine, in bytes.
@@ -103,7 +106,8 @@
             let usable = row.1.spec.is_ready;
             usable.then(|| row.1.weights(model)).flatten()
         });
-        weights.any(|version| version < named.version)
+        let newest = named.last().map(|named| named.version);
+        weights.any(|version| Some(version) < newest)
     });
     behind.map(|(model, _)| model.clone())
 }
@@ -137,6 +141,7 @@
         return;
     };
     let mut rollout = Rollout::new(version);
+    let mut announcer = Announcer { told: None };
     let (answers, mut answered) = tokio::sync::mpsc::unbounded_channel();
     tracing::info!(
         model,
@@ -160,13 +165,13 @@
                 None => {}
             }
         }
-        announce(shared, model, &rollout);
-        for step in rollout.steps(now()) {
+        announcer.announce(shared, model, &rollout);
+        for todo in rollout.steps(now()) {
             let step = Step {
                 shared: Rc::clone(shared),
                 model: model.to_owned(),
                 term,
-                step,
+                todo,
             };
             let answers = answers.clone();
             ntex::rt::spawn(async move {
@@ -179,7 +184,7 @@
             note(shared, model, &mut rollout, outcome);
         }
     }
-    announce(shared, model, &rollout);
+    announcer.announce(shared, model, &rollout);
     tracing::info!(
         model,
         version = rollout.version().0,
@@ -189,47 +194,63 @@
 }
 
 fn newest(shared: &Shared, model: &str) -> Option<WeightsVersion> {
-    let state = shared.state.borrow();
-    state
-        .weights
-        .get(&model.to_owned())
-        .map(|named| named.version)
+    shared.state.borrow().newest_weights(model)
 }
 
 /// Engines that take new work, with the weights that each is believed to have.
-fn engines(shared: &Shared, model: &str) -> Vec<(WorkerId, WeightsVersion)> {
+fn engines(shared: &Shared, model: &str) -> Vec<RolloutEngine> {
     let state = shared.state.borrow();
     let ready = state.backends.iter().filter(|row| row.1.spec.is_ready);
     ready
-        .filter_map(|(worker, backend)| Some((worker, backend.weights(model)?)))
+        .filter_map(|(worker, backend)| {
+            Some(RolloutEngine {
+                worker,
+                weights: backend.weights(model)?,
+                occupancy: backend.occupancy(now()),
+            })
+        })
         .collect()
 }
 
-fn announce(gateway: &Shared, model: &str, rollout: &Rollout) {
-    let spared = if rollout.is_done() {
-        Vec::new()
-    } else {
-        rollout.spared()
-    };
+/// Tells peers how a rollout stands, when that has changed and from time to time.
+struct Announcer {
+    told: Option<(TimeMs, RolloutNotice)>,
+}
+
+impl Announcer {
+    fn announce(&mut self, gateway: &Shared, model: &str, rollout: &Rollout) {
+        let notice = notice(gateway, model, rollout);
+        let now = now();
+        if let Some((told_at_ms, told)) = &self.told
+            && *told == notice
+            && now.since(*told_at_ms) < ANNOUNCE_PERIOD_MS
+        {
+            return;
+        }
+        let mut state = gateway.state.borrow_mut();
+        // Only rollouts of others count as heard.
+        let heard = state.rollout_heard_at_ms;
+        state.note_rollout(&notice, now);
+        state.rollout_heard_at_ms = heard;
+        drop(state);
+        gateway.peers.announce_rollout(gateway, notice.clone());
+        self.told = Some((now, notice));
+    }
+}
+
+fn notice(gateway: &Shared, model: &str, rollout: &Rollout) -> RolloutNotice {
     let version = rollout.version();
-    let with_weights = engines(gateway, model);
-    let done = with_weights.iter().filter(|row| row.1 >= version);
-    let notice = RolloutNotice {
+    let engines = engines(gateway, model);
+    let done = engines.iter().filter(|engine| engine.weights >= version);
+    RolloutNotice {
         model: model.to_owned(),
         version,
-        spared,
-        done: done.map(|row| row.0).collect(),
-    };
-    let mut state = gateway.state.borrow_mut();
-    let heard = state.rollout_heard_at_ms;
-    state.note_rollout(&notice, now());
-    // Only rollouts of others count as heard.
-    state.rollout_heard_at_ms = heard;
-    drop(state);
-    gateway.peers.announce_rollout(gateway, notice);
+        spared: rollout.spared(),
+        done: done.map(|engine| engine.worker).collect(),
+    }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 enum Outcome {
     State(WorkerId, cactusspur_core::gateway::OrderState),
     Accepted(WorkerId),
@@ -240,14 +261,13 @@
     match outcome {
         Outcome::State(worker, told) => {
             let mut state = shared.state.borrow_mut();
-            if let Some(backend) = state.backends.get_mut(worker) {
-                if backend
+            if let Some(backend) = state.backends.get_mut(worker)
+                && backend
                     .weights(model)
                     .is_some_and(|known| known < told.weights)
-                {
-                    backend.note_weights(model, told.weights);
-                    state.cached.forget(worker);
-                }
+            {
+                backend.note_weights(model, told.weights);
+                state.cached.forget(worker);
             }
             rollout.note_state(worker, told, now());
         }
@@ -261,12 +281,12 @@
     shared: Rc<Shared>,
     model: String,
     term: Term,
-    step: RolloutStep,
+    todo: RolloutStep,
 }
 
 impl Step {
     async fn carry_out(self) -> Outcome {
-        match self.step {
+        match self.todo {
             RolloutStep::Ask(worker) => self.ask(worker).await,
             RolloutStep::Order {
                 worker,
