--- a/core/src/gateway/backend.rs
+++ b/core/src/gateway/backend.rs
@@ -16,6 +16,9 @@
 const FAILURE_HALF_LIFE_MS: DurationMs = DurationMs(2_000);
 /// The weight of the newest result among earlier ones, in percent.
 const FAILURE_WEIGHT_PERCENT: u64 = 35;
+/// Prompt tokens that an engine reads in a millisecond, until one is known to differ. Of the
+/// deployments' engines.
+pub const READ_TOKENS_PER_MS: u64 = 42;
 /// A backend server that always fails.
 pub const ALWAYS_FAILS: u64 = 1_000;
 /// How long a backend server is left out after a connection to it could not be opened.
@@ -64,6 +67,10 @@
     pub unread_tokens: Tokens,
     /// Until when it is better left to finish its work, since its weights are about to change.
     pub held_until_ms: TimeMs,
+    /// Until when it turns new requests down, since it changes its weights.
+    pub loading_until_ms: TimeMs,
+    queued_tokens: Tokens,
+    queued_at_ms: TimeMs,
     load: Load,
     load_at_ms: TimeMs,
     sent_since_load: u64,
@@ -80,6 +87,9 @@
             in_flight: 0,
             unread_tokens: Tokens(0),
             held_until_ms: TimeMs(0),
+            loading_until_ms: TimeMs(0),
+            queued_tokens: Tokens(0),
+            queued_at_ms: TimeMs(0),
             load: Load::default(),
             load_at_ms: TimeMs(0),
             sent_since_load: 0,
@@ -105,13 +115,39 @@
         }
     }
 
+    /// Notes the weights that it has told itself.
+    pub fn set_weights(&mut self, model: &str, version: WeightsVersion) {
+        let row = self.spec.weights.iter_mut().find(|row| row.0 == model);
+        if let Some(row) = row {
+            row.1 = version;
+        }
+    }
+
     /// Notes a request that is being sent.
-    pub fn note_sent(&mut self, unread: Tokens) {
+    pub fn note_sent(&mut self, unread: Tokens, now: TimeMs) {
+        self.note_queued(unread, now);
         self.in_flight += 1;
         self.sent_since_load += 1;
         self.unread_tokens += unread;
     }
 
+    /// Notes prompt tokens that any entry VM has sent.
+    pub fn note_queued(&mut self, tokens: Tokens, now: TimeMs) {
+        let queued = self.queued(now);
+        self.queued_tokens = Tokens(queued.0 + tokens.0);
+        self.queued_at_ms = now;
+    }
+
+    /// The prompt tokens that are probably still to be read: what all entry VMs have sent, less
+    /// what the engine has read since, and at least what this one still waits for.
+    #[must_use]
+    pub fn queued(&self, now: TimeMs) -> Tokens {
+        let read = Tokens(now.since(self.queued_at_ms).0 * READ_TOKENS_PER_MS);
+        self.queued_tokens
+            .saturating_sub(read)
+            .max(self.unread_tokens)
+    }
+
     /// Notes that the first token of a request has come, or never will.
     pub fn note_read(&mut self, unread: Tokens) {
         self.unread_tokens = self.unread_tokens.saturating_sub(unread);
@@ -155,6 +191,12 @@
         now >= self.unreachable_until_ms
     }
 
+    /// Whether it can be reached and isn't changing its weights.
+    #[must_use]
+    pub fn takes_requests(&self, now: TimeMs) -> bool {
+        self.is_reachable(now) && now >= self.loading_until_ms
+    }
+
     /// The share of requests that failed lately, of [`ALWAYS_FAILS`].
     #[must_use]
     pub fn failure_share(&self, now: TimeMs) -> u64 {
--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        backend::{ALWAYS_FAILS, Backend, BackendTable},
+        backend::{ALWAYS_FAILS, Backend, BackendTable, READ_TOKENS_PER_MS},
         cached::{CacheScope, CachedParts, PromptPart, rank, scoped},
         routing::ServiceSpec,
     },
@@ -18,9 +18,6 @@
 /// The cost of a backend server that always fails, in milliseconds: more than any queue that it
 /// would be worth to avoid it for.
 const FAILING_MS: u64 = 3_000;
-/// Prompt tokens that an engine reads in a millisecond, until one is known to differ. Of the
-/// deployments' engines.
-const READ_TOKENS_PER_MS: u64 = 42;
 /// The cost of reading a thousand shared tokens again beside the time that it takes, in
 /// milliseconds: recomputed prompt work is paid for.
 const REREAD_MS_PER_THOUSAND: u64 = 100;
@@ -78,6 +75,8 @@
     pub domain: &'a str,
     /// Servers that have failed this request.
     pub tried: &'a [WorkerId],
+    /// The only server that may be chosen, if there is just one.
+    pub only: Option<WorkerId>,
     /// Now.
     pub now: TimeMs,
 }
@@ -191,7 +190,7 @@
     } else {
         0
     };
-    let read_ms = (own + reread + backend.unread_tokens.0) / READ_TOKENS_PER_MS;
+    let read_ms = (own + reread + backend.queued(around.now).0) / READ_TOKENS_PER_MS;
     let first_token_ms = read_ms + fetch_ms;
     let home_ms = if held == shared {
         0
@@ -262,12 +261,13 @@
             .backends
             .ready(service)
             .filter(untried)
-            .any(|row| row.1.is_reachable(now));
+            .any(|row| row.1.takes_requests(now));
         let tried = self.tried;
+        let only = self.only;
         self.backends
             .ready(service)
-            .filter(move |row| !tried.contains(&row.0))
-            .filter(move |row| !any_reachable || row.1.is_reachable(now))
+            .filter(move |row| !tried.contains(&row.0) && only.is_none_or(|only| only == row.0))
+            .filter(move |row| !any_reachable || row.1.takes_requests(now))
     }
 
     fn standing_cost(&self, backend: &Backend) -> u64 {
--- a/core/src/gateway/rollout.rs
+++ b/core/src/gateway/rollout.rs
@@ -14,13 +14,13 @@
 };
 
 /// The share of a model's engines that load weights at once. With more, each load takes longer.
-const LOADING_SHARE: usize = 6;
+const LOADING_SHARE: usize = 5;
 /// The share of a model's engines that are spared new work ahead of their order, so that their
 /// runs have ended by then.
-const SPARED_SHARE: usize = 3;
+const SPARED_SHARE: usize = 4;
 /// How long an engine is spared before it is ordered though it has not ended its runs: most runs
 /// end within this time.
-const SPARED_LIMIT_MS: DurationMs = DurationMs(1_200);
+const SPARED_LIMIT_MS: DurationMs = DurationMs(900);
 /// How long to wait for the answer to a question or an order before asking again.
 const ANSWER_MS: DurationMs = DurationMs(600);
 /// How often an engine that carries an order out is asked whether it is done.
@@ -170,10 +170,17 @@
         spared.map(|row| *row.0).collect()
     }
 
+    /// Engines that carry an order out.
+    #[must_use]
+    pub fn loading(&self) -> Vec<WorkerId> {
+        let loading = self.engines.iter().filter(|row| row.1.is_loading());
+        loading.map(|row| *row.0).collect()
+    }
+
     /// What is to be done now.
     pub fn steps(&mut self, now: TimeMs) -> Vec<RolloutStep> {
         let most = self.share(LOADING_SHARE);
-        let mut free = most.saturating_sub(self.loading(now));
+        let mut free = most.saturating_sub(self.loads(now));
         let version = self.version;
         let mut steps = Vec::new();
         for (worker, engine) in self.engines.iter_mut() {
@@ -275,16 +282,20 @@
         self.engines.len().div_ceil(share)
     }
 
-    fn loading(&self, now: TimeMs) -> usize {
-        let loading = self.engines.iter().filter(|row| {
-            let is_loading = matches!(row.1.progress, Progress::Ordered | Progress::Loading);
-            is_loading && now.since(row.1.load_began_ms) < LOAD_LIMIT_MS
-        });
+    fn loads(&self, now: TimeMs) -> usize {
+        let loading = self
+            .engines
+            .iter()
+            .filter(|row| row.1.is_loading() && now.since(row.1.load_began_ms) < LOAD_LIMIT_MS);
         loading.count()
     }
 }
 
 impl Engine {
+    const fn is_loading(&self) -> bool {
+        matches!(self.progress, Progress::Ordered | Progress::Loading)
+    }
+
     fn enter(&mut self, progress: Progress, now: TimeMs) {
         self.progress = progress;
         self.since_ms = now;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -89,6 +89,8 @@
     pub peers: PeerGroup,
     /// Whether it is shutting down.
     pub is_stopping: Cell<bool>,
+    /// Whether it is rolling weights out as the holder of the lease on orders.
+    pub is_rolling: Cell<bool>,
     /// Told when weights were named, or engines have come or changed.
     pub weights_changed: Notify,
 }
@@ -137,6 +139,7 @@
             state: RefCell::new(state),
             peers,
             is_stopping: Cell::new(false),
+            is_rolling: Cell::new(false),
             weights_changed: Notify::new(),
             settings,
         });
@@ -160,7 +163,9 @@
         sleep(UNREADY_FIRST).await;
         self.server.stop_accepting();
         let limit_ms = grace_ms.saturating_sub(GRACE_MARGIN_MS);
-        while self.server.open_connections() > 0 && now().since(began) < limit_ms {
+        while (self.server.open_connections() > 0 || self.shared.is_rolling.get())
+            && now().since(began) < limit_ms
+        {
             sleep(DRAIN_POLL).await;
         }
         let cut = self.server.open_connections();
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -143,12 +143,28 @@
     /// Chooses a backend server other than those that were tried.
     #[must_use]
     pub fn choose(&self, shared: &Shared, tried: &[WorkerId]) -> Option<Choice> {
+        self.choose_among(shared, tried, None)
+    }
+
+    /// Chooses the same server again, after more was learnt of it.
+    #[must_use]
+    pub fn choose_again(&self, shared: &Shared, worker: WorkerId) -> Option<Choice> {
+        self.choose_among(shared, &[], Some(worker))
+    }
+
+    fn choose_among(
+        &self,
+        shared: &Shared,
+        tried: &[WorkerId],
+        only: Option<WorkerId>,
+    ) -> Option<Choice> {
         let state = shared.state.borrow();
         let around = Surroundings {
             backends: &state.backends,
             cached: &state.cached,
             domain: &shared.settings.domain,
             tried,
+            only,
             now: now(),
         };
         let service = self.routing.service(&self.service);
@@ -254,7 +270,10 @@
     #[must_use]
     pub fn begin(shared: &Rc<Shared>, choice: &Choice) -> Self {
         if let Some(backend) = shared.state.borrow_mut().backends.get_mut(choice.worker) {
-            backend.note_sent(choice.unread);
+            backend.note_sent(choice.unread, now());
+        }
+        if choice.unread > Tokens(0) {
+            shared.peers.note_sent(shared, choice.worker, choice.unread);
         }
         Self {
             shared: Rc::clone(shared),
@@ -292,4 +311,6 @@
     pub verdict: Verdict,
     /// Whether no connection could be opened, so that nothing was sent.
     pub is_unsent: bool,
+    /// Whether the server has other weights than were expected.
+    pub has_other_weights: bool,
 }
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -87,6 +87,8 @@
     pub is_not_run: bool,
     /// Whether another life of a server has the address, or the weights differ.
     pub is_misdirected: bool,
+    /// The life of the server that answered, if it says so.
+    pub instance: Option<String>,
     /// Its load.
     pub load: Option<Load>,
     /// The weights that it runs on.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -8,7 +8,7 @@
         clock::now,
         dialect::AnswerHead,
         link::{LinkFailure, Reply},
-        relay,
+        relay, weights,
     },
     bytes::Bytes,
     cactusspur_core::{
@@ -162,10 +162,7 @@
         let Some(choice) = call.choose(shared, &tried) else {
             break;
         };
-        let outcome = match timeout(limit_of(call, sends), attempt(shared, call, &choice)).await {
-            Ok(outcome) => outcome,
-            Err(_) => Tried::Failed(silent(shared, &choice)),
-        };
+        let outcome = attempt_within(shared, call, choice, sends).await;
         tried.push(choice.worker);
         sends += 1;
         match outcome {
@@ -205,6 +202,39 @@
     refuse(&call.head.request_id, &call.route.name, &refusal, &why)
 }
 
+/// Tries a server, and once more if only what was believed of its weights was wrong.
+async fn attempt_within(
+    shared: &Rc<Shared>,
+    call: &Rc<Call>,
+    choice: Choice,
+    earlier_sends: usize,
+) -> Tried {
+    let limit = limit_of(call, earlier_sends);
+    let tries = async {
+        let first = attempt(shared, call, &choice).await;
+        match (&first, &call.head.prompt) {
+            (Tried::Failed(failed), Some(prompt)) if failed.has_other_weights => {
+                log_failed(call, &choice, failed);
+                weights::ask(shared, &prompt.model, choice.worker).await;
+                match call.choose_again(shared, choice.worker) {
+                    Some(again)
+                        if again.weights != choice.weights
+                            && shared.state.borrow_mut().spend_repeat(&call.service, now()) =>
+                    {
+                        attempt(shared, call, &again).await
+                    }
+                    _ => first,
+                }
+            }
+            _ => first,
+        }
+    };
+    match timeout(limit, tries).await {
+        Ok(outcome) => outcome,
+        Err(_) => Tried::Failed(silent(shared, &choice)),
+    }
+}
+
 fn log_failed(call: &Call, choice: &Choice, failed: &Failed) {
     tracing::info!(
         request = call.head.request_id, route = call.route.name, worker = %choice.worker,
@@ -233,6 +263,7 @@
         what: "no answer in time".to_owned(),
         verdict: Verdict::MayHaveRun,
         is_unsent: false,
+        has_other_weights: false,
     }
 }
 
@@ -255,6 +286,7 @@
         what: failure.what,
         verdict: failure.verdict,
         is_unsent: failure.is_unreachable,
+        has_other_weights: false,
     }
 }
 
@@ -281,6 +313,7 @@
             what: "the backend server has left".to_owned(),
             verdict: Verdict::NotRun,
             is_unsent: true,
+            has_other_weights: false,
         });
     };
     let in_flight = InFlight::begin(shared, choice);
@@ -297,6 +330,7 @@
             what: "an answer to another request".to_owned(),
             verdict: Verdict::MayHaveRun,
             is_unsent: false,
+            has_other_weights: false,
         });
     }
     if let Some(load) = head.load {
@@ -317,14 +351,22 @@
     if let Err(error) = reply.read(&shared.links, MAX_WHOLE_ANSWER_BYTES).await {
         tracing::debug!(%error, "the rest of a refusal was not read");
     }
-    if !head.is_misdirected {
-        // A server that only changes its weights is no failing one, but others are better now.
-        note_result(shared, choice.worker, false);
+    let mut has_other_weights = false;
+    if let Some(backend) = shared.state.borrow_mut().backends.get_mut(choice.worker) {
+        let told = head.instance.as_deref();
+        let is_another = told.is_some_and(|told| told != backend.spec.instance);
+        match (head.is_misdirected, is_another) {
+            // Its address belongs to another server now.
+            (true, true) => backend.note_unreachable(now()),
+            (true, false) => has_other_weights = choice.weights.is_some(),
+            (false, _) => backend.note_result(false, now()),
+        }
     }
     Failed {
         what: format!("not run by the backend server: {status}"),
         verdict: Verdict::NotRun,
         is_unsent: false,
+        has_other_weights,
     }
 }
 
@@ -343,6 +385,7 @@
             what: "a success without the server's signature".to_owned(),
             verdict: Verdict::MayHaveRun,
             is_unsent: false,
+            has_other_weights: false,
         });
     }
     let headers = &reply.head.headers;
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -37,6 +37,8 @@
     pub fencing: FencingNumber,
     /// When the holder must have stopped, by the clock that counts suspension.
     ends_at_ms: TimeMs,
+    asked_at_ms: TimeMs,
+    store_now_ms: TimeMs,
 }
 
 impl Term {
@@ -59,7 +61,7 @@
     },
 }
 
-/// Asks for the lease, or renews it.
+/// Asks for the lease.
 ///
 /// # Errors
 ///
@@ -86,18 +88,77 @@
             });
         }
     }
-    // The term counts from before the write is asked for, and from the store's clock as it was
-    // when the row was read: both are earlier than the write itself.
     let asked_at_ms = now_with_suspension();
-    let value = LeaseRow {
+    // The store has read its clock before this process did: the term that is written ends later
+    // than the one that is used.
+    let ends_at_store_ms = read.store_now_ms.after(TERM_MS);
+    write(
+        store,
+        holder,
+        expected,
+        asked_at_ms,
+        ends_at_store_ms,
+        pause_ms,
+    )
+    .await
+}
+
+/// Renews a term, with one call.
+///
+/// # Errors
+///
+/// When the store can't be asked. A write that may have been done is not counted as held.
+pub async fn renew<S>(
+    store: &S,
+    holder: &str,
+    term: &Term,
+    pause_ms: DurationMs,
+) -> Result<Acquired, StoreError>
+where
+    S: MetadataStore,
+{
+    let asked_at_ms = now_with_suspension();
+    // The store told its clock after the last write was asked for, so this is no earlier than
+    // what its clock shows now.
+    let passed = asked_at_ms.since(term.asked_at_ms);
+    let ends_at_store_ms = term.store_now_ms.after(passed).after(TERM_MS);
+    let expected = term.fencing.0;
+    write(
+        store,
+        holder,
+        expected,
+        asked_at_ms,
+        ends_at_store_ms,
+        pause_ms,
+    )
+    .await
+}
+
+async fn write<S>(
+    store: &S,
+    holder: &str,
+    expected: u64,
+    asked_at_ms: TimeMs,
+    ends_at_store_ms: TimeMs,
+    pause_ms: DurationMs,
+) -> Result<Acquired, StoreError>
+where
+    S: MetadataStore,
+{
+    let row = LeaseRow {
         holder: holder.to_owned(),
-        ends_at_store_ms: read.store_now_ms.after(TERM_MS).0,
+        ends_at_store_ms: ends_at_store_ms.0,
     };
-    let value = serde_json::to_vec(&value).map_err(|error| not_run(error.to_string()))?;
+    let value = serde_json::to_vec(&row).map_err(|error| not_run(error.to_string()))?;
     match store.write_row(TABLE, KEY, expected, value.into()).await? {
-        Written::Done { version, .. } => Ok(Acquired::Held(Term {
+        Written::Done {
+            version,
+            store_now_ms,
+        } => Ok(Acquired::Held(Term {
             fencing: FencingNumber(version),
             ends_at_ms: asked_at_ms.after(TERM_MS.saturating_sub(MARGIN_MS)),
+            asked_at_ms,
+            store_now_ms,
         })),
         Written::Conflict => Ok(Acquired::Taken {
             retry_after_ms: pause_ms,
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -1,7 +1,7 @@
 //! What gateways tell each other without being asked.
 
 use {
-    cactusspur_core::{DurationMs, TimeMs, WeightsVersion, WorkerId, gateway::PartNote},
+    cactusspur_core::{DurationMs, TimeMs, Tokens, WeightsVersion, WorkerId, gateway::PartNote},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -17,12 +17,27 @@
     pub newest: Vec<(String, u64)>,
     /// Parts of prompts that backend servers hold or are reading.
     pub parts: Vec<PartNote>,
+    /// The weights that the sender knows to be named, and for how long.
+    pub weights: Vec<WeightsNotice>,
+    /// Prompt tokens that were sent to engines since the last notice.
+    pub sent: Vec<(WorkerId, Tokens)>,
     /// What the sender is doing as the holder of the lease on orders.
     pub rollout: Option<RolloutNotice>,
     /// Whether the sender is shutting down.
     pub is_stopping: bool,
 }
 
+/// Weights that were named.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightsNotice {
+    /// The model.
+    pub model: String,
+    /// Their version.
+    pub version: WeightsVersion,
+    /// How long ago the sender heard of them.
+    pub age_ms: DurationMs,
+}
+
 /// What the holder of the lease on orders tells.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutNotice {
@@ -32,6 +47,8 @@
     pub version: WeightsVersion,
     /// Engines that are about to change their weights.
     pub spared: Vec<WorkerId>,
+    /// Engines that change their weights and turn new requests down.
+    pub loading: Vec<WorkerId>,
     /// Engines that have them.
     pub done: Vec<WorkerId>,
 }
@@ -69,16 +86,28 @@
     }
 
     /// Notes that a peer was heard.
-    pub fn heard(&mut self, address: SocketAddr, name: &str, is_stopping: bool, now: TimeMs) {
+    /// Gives back whether it was not running before.
+    pub fn heard(
+        &mut self,
+        address: SocketAddr,
+        name: &str,
+        is_stopping: bool,
+        now: TimeMs,
+    ) -> bool {
         self.add(address);
+        let mut was_running = false;
         if let Ok(at) = self.search(address) {
             let peer = &mut self.rows[at];
+            was_running = peer
+                .heard_at_ms
+                .is_some_and(|at| now.since(at) < RUNNING_MS);
             peer.heard_at_ms = Some(now);
             peer.is_stopping = is_stopping;
             if peer.name != name {
                 name.clone_into(&mut peer.name);
             }
         }
+        !was_running
     }
 
     /// All addresses.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,7 +11,7 @@
         timeline::HybridTime,
     },
     bytes::Bytes,
-    cactusspur_core::{EntryId, Table, gateway::PartNote},
+    cactusspur_core::{EntryId, Table, Tokens, WorkerId, gateway::PartNote},
     error_stack::{Report, ResultExt},
     std::{
         cell::{Cell, RefCell},
@@ -45,6 +45,7 @@
     number: Cell<u64>,
     links: RefCell<Table<SocketAddr, Rc<PeerLink>>>,
     notes: RefCell<Vec<PartNote>>,
+    sent: RefCell<Vec<(WorkerId, Tokens)>>,
     is_flush_due: Cell<bool>,
     is_pulling: Cell<bool>,
     rollout: RefCell<Option<super::notice::RolloutNotice>>,
@@ -71,6 +72,7 @@
             number: Cell::new(0),
             links: RefCell::default(),
             notes: RefCell::default(),
+            sent: RefCell::default(),
             is_flush_due: Cell::new(false),
             is_pulling: Cell::new(false),
             rollout: RefCell::default(),
@@ -90,9 +92,19 @@
         self.rollout.replace(None);
     }
 
+    /// Tells all peers soon that prompt tokens were sent to an engine.
+    pub fn note_sent(&self, shared: &Rc<Shared>, worker: WorkerId, unread: Tokens) {
+        self.sent.borrow_mut().push((worker, unread));
+        self.flush_soon(shared);
+    }
+
     /// Tells all peers soon which parts a backend server holds.
     pub fn note_parts(&self, shared: &Rc<Shared>, notes: &[PartNote]) {
         self.notes.borrow_mut().extend_from_slice(notes);
+        self.flush_soon(shared);
+    }
+
+    fn flush_soon(&self, shared: &Rc<Shared>) {
         if self.is_flush_due.replace(true) {
             return;
         }
@@ -102,6 +114,9 @@
             let peers = &shared.peers;
             peers.is_flush_due.set(false);
             let notes = peers.notes.take();
+            if notes.is_empty() {
+                peers.announce(&shared);
+            }
             for chunk in notes.chunks(MAX_NOTES) {
                 let notice = peers.notice(&shared, chunk.to_vec());
                 peers.send(&shared, notice);
@@ -151,10 +166,13 @@
     }
 
     fn notice(&self, shared: &Shared, parts: Vec<PartNote>) -> Notice {
+        let state = shared.state.borrow();
         Notice {
             name: self.name.clone(),
             address: Some(self.address),
-            newest: shared.state.borrow().replica.newest(),
+            newest: state.replica.newest(),
+            weights: state.weights_notices(now()),
+            sent: self.sent.take(),
             parts,
             rollout: self.rollout.borrow().clone(),
             is_stopping: shared.is_stopping.get(),
@@ -263,12 +281,15 @@
     };
     let now = now();
     let mut state = shared.state.borrow_mut();
-    state
+    let is_new = state
         .peers
         .heard(address, &notice.name, notice.is_stopping, now);
-    state.note_parts(&notice.parts, now);
-    if let Some(rollout) = &notice.rollout {
-        state.note_rollout(rollout, now);
+    state.note_notice(notice, now);
+    if is_new {
+        // It may have started just now and know little.
+        drop(state);
+        shared.peers.announce(shared);
+        state = shared.state.borrow_mut();
     }
     if is_behind(&state.replica.newest(), &notice.newest) {
         drop(state);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -131,7 +131,7 @@
                 }
             }
             if let Some(next) = self.resume().await {
-                source = next
+                source = next;
             } else {
                 // The caller may have left meanwhile.
                 let _ = self.sender.send(Err(Incomplete)).await;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,7 +5,7 @@
     super::{
         GatewaySettings,
         dialect::{Dialect, Update},
-        notice::{Peers, RolloutNotice},
+        notice::{Notice, Peers, RolloutNotice, WeightsNotice},
         replica::{Replica, StoredRow},
     },
     cactusspur_core::{
@@ -23,6 +23,8 @@
 /// Namings of weights that are remembered for a model. The oldest matter only to engines that are
 /// further behind than any may be.
 const MAX_NAMED: usize = 32;
+/// Namings that a notice tells for each model; older ones hardly matter to a peer that starts.
+const MAX_TOLD_WEIGHTS: usize = 6;
 /// How long an engine is spared after the holder of the lease on orders told so last.
 const SPARED_MS: DurationMs = DurationMs(500);
 
@@ -136,7 +138,7 @@
                 self.take_routing(*routing, row.version);
                 false
             }
-            Some(Update::Weights { model, version }) => self.take_weights(model, version, now),
+            Some(Update::Weights { model, version }) => self.take_weights(&model, version, now),
             Some(Update::Backend(spec)) => {
                 let worker = WorkerId::of(&spec.instance);
                 self.vanished.remove(&worker);
@@ -176,21 +178,68 @@
         self.routing = Some(Rc::new(routing));
     }
 
-    fn take_weights(&mut self, model: String, version: WeightsVersion, now: TimeMs) -> bool {
-        if self.newest_weights(&model) >= Some(version) {
+    fn take_weights(&mut self, model: &str, version: WeightsVersion, now: TimeMs) -> bool {
+        if self.newest_weights(model) >= Some(version) {
             return false;
         }
         tracing::info!(model, version = version.0, "weights named");
-        let named = self.weights.get_or_insert_with(model, Vec::new);
-        if named.len() >= MAX_NAMED {
+        self.note_named(model, version, now);
+        true
+    }
+
+    /// Notes when weights were named, as far as that is known: this entry VM may have started
+    /// later than that, and then hears it from its peers.
+    pub fn note_named(&mut self, model: &str, version: WeightsVersion, heard_at_ms: TimeMs) {
+        let permitted_ms = self.old_weights_ms;
+        let named = self.weights.get_or_insert_with(model.to_owned(), Vec::new);
+        let found = named.binary_search_by_key(&version, |named| named.version);
+        match found {
+            Ok(at) => named[at].heard_at_ms = named[at].heard_at_ms.min(heard_at_ms),
+            Err(at) => named.insert(
+                at,
+                NamedWeights {
+                    version,
+                    heard_at_ms,
+                    permitted_ms,
+                },
+            ),
+        }
+        if named.len() > MAX_NAMED {
             named.remove(0);
         }
-        named.push(NamedWeights {
-            version,
-            heard_at_ms: now,
-            permitted_ms: self.old_weights_ms,
+    }
+
+    /// The weights that were named, with their ages.
+    #[must_use]
+    pub fn weights_notices(&self, now: TimeMs) -> Vec<WeightsNotice> {
+        let rows = self.weights.iter().flat_map(|(model, named)| {
+            let newest = named.iter().rev().take(MAX_TOLD_WEIGHTS);
+            newest.map(move |named| WeightsNotice {
+                model: model.clone(),
+                version: named.version,
+                age_ms: now.since(named.heard_at_ms),
+            })
         });
-        true
+        rows.collect()
+    }
+
+    /// Takes over what another gateway tells.
+    pub fn note_notice(&mut self, notice: &Notice, now: TimeMs) {
+        for told in &notice.weights {
+            let heard_at_ms = TimeMs(now.0.saturating_sub(told.age_ms.0));
+            if self.newest_weights(&told.model) >= Some(told.version) {
+                self.note_named(&told.model, told.version, heard_at_ms);
+            }
+        }
+        for (worker, tokens) in &notice.sent {
+            if let Some(backend) = self.backends.get_mut(*worker) {
+                backend.note_queued(*tokens, now);
+            }
+        }
+        self.note_parts(&notice.parts, now);
+        if let Some(rollout) = &notice.rollout {
+            self.note_rollout(rollout, now);
+        }
     }
 
     /// The newest weights that were named for a model.
@@ -246,10 +295,16 @@
                 backend.held_until_ms = now.after(SPARED_MS);
             }
         }
+        for worker in &rollout.loading {
+            if let Some(backend) = self.backends.get_mut(*worker) {
+                backend.loading_until_ms = now.after(SPARED_MS);
+            }
+        }
         for worker in &rollout.done {
             if let Some(backend) = self.backends.get_mut(*worker) {
                 backend.note_weights(&rollout.model, rollout.version);
                 backend.held_until_ms = TimeMs(0);
+                backend.loading_until_ms = TimeMs(0);
             }
         }
     }
--- a/src/gateway/weights.rs
+++ b/src/gateway/weights.rs
@@ -7,11 +7,11 @@
         dialect::{OrderAnswer, WeightsOrder},
         lease::{self, Acquired, RENEW_BEFORE_MS, Term},
         notice::RolloutNotice,
-        store::MetadataStore,
+        store::{MetadataStore, StoreError},
     },
     cactusspur_core::{
         DurationMs, TimeMs, WeightsVersion, WorkerId,
-        gateway::{Rollout, RolloutEngine, RolloutStep, rank},
+        gateway::{OrderState, Rollout, RolloutEngine, RolloutStep, rank},
     },
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
@@ -54,7 +54,9 @@
             continue;
         }
         while let Some(model) = next_model(&shared) {
-            if shared.is_stopping.get() {
+            // A holder that is shutting down goes on; others would have to wait for its term to
+            // end. One that isn't the holder leaves it to those that stay.
+            if shared.is_stopping.get() && !held_last {
                 return;
             }
             if !held_last {
@@ -68,6 +70,7 @@
             match acquire(&shared, store.as_ref()).await {
                 Some(Acquired::Held(term)) => {
                     held_last = true;
+                    let _rolling = Rolling::begin(&shared);
                     roll_out(&shared, store.as_ref(), &model, term).await;
                 }
                 Some(Acquired::Taken { retry_after_ms }) => {
@@ -81,12 +84,42 @@
     }
 }
 
+/// Notes that this gateway is rolling weights out, until it is dropped.
+struct Rolling<'a>(&'a Shared);
+
+impl<'a> Rolling<'a> {
+    fn begin(shared: &'a Shared) -> Self {
+        shared.is_rolling.set(true);
+        Self(shared)
+    }
+}
+
+impl Drop for Rolling<'_> {
+    fn drop(&mut self) {
+        self.0.is_rolling.set(false);
+    }
+}
+
 async fn acquire<S>(shared: &Shared, store: &S) -> Option<Acquired>
 where
     S: MetadataStore,
 {
     let settings = &shared.settings;
-    match lease::acquire(store, &settings.name, settings.holder_pause_ms).await {
+    let asked = lease::acquire(store, &settings.name, settings.holder_pause_ms).await;
+    logged(asked)
+}
+
+async fn renew<S>(shared: &Shared, store: &S, term: &Term) -> Option<Acquired>
+where
+    S: MetadataStore,
+{
+    let settings = &shared.settings;
+    let asked = lease::renew(store, &settings.name, term, settings.holder_pause_ms).await;
+    logged(asked)
+}
+
+fn logged(asked: Result<Acquired, StoreError>) -> Option<Acquired> {
+    match asked {
         Ok(acquired) => {
             tracing::debug!(?acquired, "lease on orders");
             Some(acquired)
@@ -154,15 +187,14 @@
             rollout.raise(version);
         }
         rollout.set_engines(&engines(shared, model), now());
-        if rollout.is_done() || shared.is_stopping.get() {
+        if rollout.is_done() {
             break;
         }
         if term.left_ms() < RENEW_BEFORE_MS {
-            match acquire(shared, store).await {
+            match renew(shared, store, &term).await {
                 Some(Acquired::Held(renewed)) => term = renewed,
-                Some(Acquired::Taken { .. }) => break,
-                None if term.left_ms() == DurationMs(0) => break,
-                None => {}
+                // A write whose answer was lost may have made another version.
+                Some(Acquired::Taken { .. }) | None => break,
             }
         }
         announcer.announce(shared, model, &rollout);
@@ -181,7 +213,7 @@
             });
         }
         if let Ok(Some(outcome)) = timeout(STEP_PERIOD, answered.recv()).await {
-            note(shared, model, &mut rollout, outcome);
+            note(&mut rollout, outcome);
         }
     }
     announcer.announce(shared, model, &rollout);
@@ -246,36 +278,66 @@
         model: model.to_owned(),
         version,
         spared: rollout.spared(),
+        loading: rollout.loading(),
         done: done.map(|engine| engine.worker).collect(),
     }
 }
 
 #[derive(Clone, Copy, Debug)]
 enum Outcome {
-    State(WorkerId, cactusspur_core::gateway::OrderState),
+    State(WorkerId, OrderState),
     Accepted(WorkerId),
     Failed(WorkerId),
 }
 
-fn note(shared: &Shared, model: &str, rollout: &mut Rollout, outcome: Outcome) {
+fn note(rollout: &mut Rollout, outcome: Outcome) {
     match outcome {
-        Outcome::State(worker, told) => {
-            let mut state = shared.state.borrow_mut();
-            if let Some(backend) = state.backends.get_mut(worker)
-                && backend
-                    .weights(model)
-                    .is_some_and(|known| known < told.weights)
-            {
-                backend.note_weights(model, told.weights);
-                state.cached.forget(worker);
-            }
-            rollout.note_state(worker, told, now());
-        }
+        Outcome::State(worker, told) => rollout.note_state(worker, told, now()),
         Outcome::Accepted(worker) => rollout.note_accepted(worker, now()),
         Outcome::Failed(worker) => rollout.note_failed(worker, now()),
     }
 }
 
+fn target(shared: &Shared, worker: WorkerId) -> Option<(SocketAddr, String)> {
+    let state = shared.state.borrow();
+    let spec = &state.backends.get(worker)?.spec;
+    Some((spec.address, spec.instance.clone()))
+}
+
+/// Asks an engine for its state, and takes over the weights that it tells.
+pub async fn ask(shared: &Shared, model: &str, worker: WorkerId) -> Option<OrderState> {
+    let (address, instance) = target(shared, worker)?;
+    let request = shared.dialect.ask_state(&instance);
+    let exchange = async {
+        let reply = shared.links.send(address, request).await?;
+        reply.read(&shared.links, MAX_ANSWER_BYTES).await
+    };
+    let told = match timeout(ANSWER_LIMIT, exchange).await {
+        Ok(Ok((_, body))) => shared.dialect.read_state(model, &body),
+        Ok(Err(error)) => {
+            tracing::info!(backend = instance, %error, "an engine did not tell its state");
+            None
+        }
+        Err(_) => {
+            tracing::info!(backend = instance, "an engine was silent about its state");
+            None
+        }
+    }?;
+    let mut state = shared.state.borrow_mut();
+    if let Some(backend) = state.backends.get_mut(worker)
+        && backend.weights(model) != Some(told.weights)
+    {
+        tracing::info!(
+            backend = instance,
+            weights = told.weights.0,
+            "an engine's weights differ"
+        );
+        backend.set_weights(model, told.weights);
+        state.cached.forget(worker);
+    }
+    Some(told)
+}
+
 /// One step of a rollout.
 struct Step {
     shared: Rc<Shared>,
@@ -287,7 +349,10 @@
 impl Step {
     async fn carry_out(self) -> Outcome {
         match self.todo {
-            RolloutStep::Ask(worker) => self.ask(worker).await,
+            RolloutStep::Ask(worker) => match ask(&self.shared, &self.model, worker).await {
+                Some(state) => Outcome::State(worker, state),
+                None => Outcome::Failed(worker),
+            },
             RolloutStep::Order {
                 worker,
                 version,
@@ -296,39 +361,8 @@
         }
     }
 
-    fn target(&self, worker: WorkerId) -> Option<(SocketAddr, String)> {
-        let state = self.shared.state.borrow();
-        let spec = &state.backends.get(worker)?.spec;
-        Some((spec.address, spec.instance.clone()))
-    }
-
-    async fn ask(&self, worker: WorkerId) -> Outcome {
-        let Some((address, instance)) = self.target(worker) else {
-            return Outcome::Failed(worker);
-        };
-        let request = self.shared.dialect.ask_state(&instance);
-        let exchange = async {
-            let reply = self.shared.links.send(address, request).await?;
-            reply.read(&self.shared.links, MAX_ANSWER_BYTES).await
-        };
-        match timeout(ANSWER_LIMIT, exchange).await {
-            Ok(Ok((_, body))) => match self.shared.dialect.read_state(&self.model, &body) {
-                Some(state) => Outcome::State(worker, state),
-                None => Outcome::Failed(worker),
-            },
-            Ok(Err(error)) => {
-                tracing::info!(backend = instance, %error, "an engine did not tell its state");
-                Outcome::Failed(worker)
-            }
-            Err(_) => {
-                tracing::info!(backend = instance, "an engine was silent about its state");
-                Outcome::Failed(worker)
-            }
-        }
-    }
-
     async fn order(&self, worker: WorkerId, version: WeightsVersion, accepted: u64) -> Outcome {
-        let Some((address, instance)) = self.target(worker) else {
+        let Some((address, instance)) = target(&self.shared, worker) else {
             return Outcome::Failed(worker);
         };
         if self.term.left_ms() == DurationMs(0) {
