--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -23,6 +23,12 @@
 const REREAD_MS_PER_THOUSAND: u64 = 100;
 /// The time that it takes to set up a fetch of cached parts, in milliseconds.
 const FETCH_SETUP_MS: u64 = 4;
+/// Reading without a break that streams bear, in milliseconds: shorter than their longest pause.
+const STALL_FROM_MS: u64 = 90;
+/// How much longer makes streams late for sure, in milliseconds.
+const STALL_SPAN_MS: u64 = 140;
+/// The cost of making one stream late, in milliseconds: two thirds of its worth.
+const LATE_MS: u64 = 140;
 /// The cost of one more request in an engine's batch, in milliseconds: each slows all others.
 const BATCH_MS: u64 = 4;
 /// The cost of a request that must wait for a slot of a plain service, in milliseconds: about
@@ -197,7 +203,14 @@
     } else {
         steps_from_home * RANK_MS
     };
+    let queued_ms = backend.queued(around.now).0 / READ_TOKENS_PER_MS;
+    let later_ms = queued_ms + (own + reread) / READ_TOKENS_PER_MS;
+    let streams = backend.occupancy(around.now);
+    // What the reading does to streams that are there already, and to this one.
+    let others_late_ms = streams * (stall_ms(later_ms) - stall_ms(queued_ms));
     let cost = first_token_ms
+        + others_late_ms
+        + stall_ms(later_ms)
         + reread * REREAD_MS_PER_THOUSAND / 1_000
         + backend.occupancy(around.now) * BATCH_MS
         + home_ms
@@ -239,6 +252,13 @@
         })
 }
 
+/// The cost to one stream of a time in which its engine reads prompts without a break: the pauses
+/// between its events grow with each piece of a prompt that is read between two tokens.
+fn stall_ms(reading_ms: u64) -> u64 {
+    let over_ms = reading_ms.saturating_sub(STALL_FROM_MS).min(STALL_SPAN_MS);
+    LATE_MS * over_ms / STALL_SPAN_MS
+}
+
 fn transfer_ms(service: &ServiceSpec, tokens: u64) -> u64 {
     let bits = tokens * service.kv_bytes_per_token * 8;
     bits / (service.link_mbps.max(1) * 1_000)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,7 +13,7 @@
     },
     bytes::Bytes,
     cactusspur_core::{
-        DurationMs, WorkerId,
+        DurationMs, TimeMs, WorkerId,
         gateway::{CallKind, Choice},
     },
     futures::future::abortable,
@@ -51,6 +51,8 @@
         sender,
         last_event: call.head.last_event,
         events: 0,
+        last_event_at_ms: call.arrived_ms,
+        longest_gap_ms: DurationMs(0),
         tried: vec![choice.worker],
     };
     let (relaying, abort) = abortable(relay.run(Source::new(choice, reply, in_flight)));
@@ -101,6 +103,8 @@
     sender: mpsc::Sender<Result<Bytes, Incomplete>>,
     last_event: Option<u64>,
     events: u64,
+    last_event_at_ms: TimeMs,
+    longest_gap_ms: DurationMs,
     tried: Vec<WorkerId>,
 }
 
@@ -175,6 +179,12 @@
                 self.call.note_parts(&self.shared, &source.choice, true);
                 self.log(source.choice.worker, "first event");
             }
+            let now = now();
+            if self.events > 0 {
+                let gap_ms = now.since(self.last_event_at_ms);
+                self.longest_gap_ms = self.longest_gap_ms.max(gap_ms);
+            }
+            self.last_event_at_ms = now;
             self.events += 1;
             let is_repeated = match (event.id, self.last_event) {
                 (Some(id), Some(last)) => id <= last,
@@ -259,7 +269,7 @@
     fn log(&self, worker: WorkerId, what: &str) {
         tracing::info!(
             request = self.call.head.request_id, route = self.call.route.name, %worker,
-            events = self.events, last_event = self.last_event,
+            events = self.events, longest_gap_ms = self.longest_gap_ms.0, last_event = self.last_event,
             after_ms = now().since(self.call.arrived_ms).0, what, "stream"
         );
     }
