--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -14,7 +14,7 @@
 pub use {
     backend::{Backend, BackendSpec, BackendTable, Load},
     budget::{BudgetTerms, RetryBudget},
-    cached::{CacheScope, CachedParts, PartNote, PromptPart, chain_of, rank, scoped},
+    cached::{CacheScope, CachedParts, PartNote, PromptPart, chain_of, kept_store, rank, scoped},
     choice::{Choice, Fetch, ModelCall, NamedWeights, Surroundings, choose_model, choose_plain},
     rollout::{OrderState, Rollout, RolloutEngine, RolloutStep},
     routing::{CallKind, CallerLimits, CustomerSpec, Route, RoutingTable, ServiceSpec, Split},
--- a/core/src/gateway/cached.rs
+++ b/core/src/gateway/cached.rs
@@ -17,7 +17,10 @@
 
 /// How long a part is believed to stay cached after its last use. Engines evict the least
 /// recently used parts; at the deployments' usual load that takes longer than this.
-const BELIEVED_MS: DurationMs = DurationMs(15_000);
+const BELIEVED_MS: DurationMs = DurationMs(8_000);
+/// How long a part is believed to stay in the store of kept KV cache: it is larger than an engine's
+/// memory and takes in only what it lacks.
+const KEPT_BELIEVED_MS: DurationMs = DurationMs(25_000);
 /// Holders that are remembered for one part. More are not needed to find one that is idle.
 const MAX_HOLDERS: usize = 6;
 /// Parts that are remembered. Beyond these the ones that were not used for the longest time go.
@@ -76,6 +79,12 @@
     xxh3_64(&bytes)
 }
 
+/// Stands for the store of kept KV cache among those that hold parts.
+#[must_use]
+pub fn kept_store() -> WorkerId {
+    WorkerId::of("store of kept KV cache")
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Holder {
     worker: WorkerId,
@@ -83,6 +92,17 @@
     is_read: bool,
 }
 
+impl Holder {
+    fn is_believed(&self, now: TimeMs) -> bool {
+        let believed = if self.worker == kept_store() {
+            KEPT_BELIEVED_MS
+        } else {
+            BELIEVED_MS
+        };
+        now.since(self.used_at_ms) < believed
+    }
+}
+
 /// A note that a backend server has read a part, or is about to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartNote {
@@ -145,7 +165,7 @@
     pub fn sources(&self, part: u64, now: TimeMs) -> impl Iterator<Item = WorkerId> {
         let holders = self.parts.get(&part).into_iter().flatten();
         holders
-            .filter(move |holder| holder.is_read && now.since(holder.used_at_ms) < BELIEVED_MS)
+            .filter(move |holder| holder.is_read && holder.is_believed(now))
             .map(|holder| holder.worker)
     }
 
@@ -153,7 +173,7 @@
     pub fn holders(&self, part: u64, now: TimeMs) -> impl Iterator<Item = WorkerId> {
         let holders = self.parts.get(&part).into_iter().flatten();
         holders
-            .filter(move |holder| now.since(holder.used_at_ms) < BELIEVED_MS)
+            .filter(move |holder| holder.is_believed(now))
             .map(|holder| holder.worker)
     }
 
--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         backend::{ALWAYS_FAILS, Backend, BackendTable, READ_TOKENS_PER_MS},
-        cached::{CacheScope, CachedParts, PromptPart, rank, scoped},
+        cached::{CacheScope, CachedParts, PromptPart, kept_store, rank, scoped},
         routing::ServiceSpec,
     },
     crate::{
@@ -21,6 +21,9 @@
 /// The cost of reading a thousand shared tokens again beside the time that it takes, in
 /// milliseconds: recomputed prompt work is paid for.
 const REREAD_MS_PER_THOUSAND: u64 = 100;
+/// How many times as long the store of kept KV cache takes for a transfer as an engine: its link
+/// is slower and serves all engines.
+const KEPT_STORE_SLOWER: u64 = 5;
 /// The time that it takes to set up a fetch of cached parts, in milliseconds.
 const FETCH_SETUP_MS: u64 = 4;
 /// Reading without a break that streams bear, in milliseconds: shorter than their longest pause.
@@ -62,6 +65,8 @@
     pub worker: WorkerId,
     /// Where it finds cached parts that it lacks.
     pub fetch: Option<Fetch>,
+    /// Whether the parts are saved in the store of kept KV cache.
+    pub saves: bool,
     /// Prompt tokens that it is predicted to read.
     pub unread: Tokens,
     /// The weights that the request runs on, of a model's.
@@ -109,6 +114,8 @@
     pub parts: &'a [PromptPart],
     /// [`super::chain_of`] the parts.
     pub chain: &'a [u64],
+    /// Whether there is a store of kept KV cache that answers.
+    pub has_kept_store: bool,
     /// The weights that were named, oldest first.
     pub named: &'a [NamedWeights],
 }
@@ -129,6 +136,7 @@
     Some(Choice {
         worker: best.0,
         fetch: None,
+        saves: false,
         unread: Tokens(0),
         weights: None,
         first_token_ms: DurationMs(0),
@@ -185,16 +193,20 @@
         .map(|link| scoped(scope, *link))
         .collect();
     let held = around.cached.depth(&keys, worker, around.now);
-    let (source, source_depth) = best_source(around, &keys, worker);
-    let fetched = source_depth.max(held);
+    let source = best_source(around, &keys, worker, held, call.has_kept_store);
+    let fetched = source.map_or(held, |(_, depth)| depth.max(held));
     let tokens = |range: &[PromptPart]| range.iter().map(|part| part.tokens.0).sum::<u64>();
     let fetched_tokens = tokens(&call.parts[held..fetched]);
     let reread = tokens(&call.parts[fetched..shared]);
     let own = tokens(&call.parts[shared..]);
-    let fetch_ms = if fetched > held {
-        FETCH_SETUP_MS + transfer_ms(service, fetched_tokens)
-    } else {
-        0
+    let fetch_ms = match source {
+        Some((Fetch::Engine(_), _)) if fetched > held => {
+            FETCH_SETUP_MS + transfer_ms(service, fetched_tokens)
+        }
+        Some((Fetch::KeptStore, _)) if fetched > held => {
+            FETCH_SETUP_MS + transfer_ms(service, fetched_tokens) * KEPT_STORE_SLOWER
+        }
+        _ => 0,
     };
     let read_ms = (own + reread + backend.queued(around.now).0) / READ_TOKENS_PER_MS;
     let first_token_ms = read_ms + fetch_ms;
@@ -218,7 +230,10 @@
         + around.standing_cost(backend);
     let choice = Choice {
         worker,
-        fetch: (fetched > held).then_some(source).flatten(),
+        fetch: source.map(|(source, _)| source),
+        saves: call.has_kept_store
+            && shared > 0
+            && around.cached.read_depth(&keys, kept_store(), around.now) < shared,
         unread: Tokens(own + reread),
         weights: Some(weights),
         first_token_ms: DurationMs(first_token_ms),
@@ -226,30 +241,36 @@
     (cost, choice)
 }
 
-/// The engine that holds the most of the parts, other than the one that lacks them.
+/// Where an engine fetches parts that it lacks: from the engine that holds the most of them, or
+/// from the store of kept KV cache. The store is named also when the engine is believed to lack
+/// nothing: it may have evicted parts, and naming a source costs next to nothing.
 fn best_source(
     around: &Surroundings<'_>,
     keys: &[u64],
     lacking: WorkerId,
-) -> (Option<Fetch>, usize) {
-    let Some(first) = keys.first() else {
-        return (None, 0);
-    };
-    around
+    held: usize,
+    has_kept_store: bool,
+) -> Option<(Fetch, usize)> {
+    let first = *keys.first()?;
+    let engine = around
         .cached
-        .sources(*first, around.now)
+        .sources(first, around.now)
         .filter(|holder| *holder != lacking)
-        .filter(|holder| {
-            around
-                .backends
-                .get(*holder)
-                .is_some_and(|b| b.is_reachable(around.now))
-        })
+        .filter(|holder| around.is_reachable(*holder))
         .map(|holder| (holder, around.cached.read_depth(keys, holder, around.now)))
-        .max_by_key(|(holder, depth)| (*depth, rank(keys[0], *holder)))
-        .map_or((None, 0), |(holder, depth)| {
-            (Some(Fetch::Engine(holder)), depth)
-        })
+        .max_by_key(|(holder, depth)| (*depth, rank(first, *holder)));
+    let kept = if has_kept_store {
+        around.cached.read_depth(keys, kept_store(), around.now)
+    } else {
+        0
+    };
+    match engine {
+        Some((holder, depth)) if depth > held && depth >= kept => {
+            Some((Fetch::Engine(holder), depth))
+        }
+        _ if kept > 0 => Some((Fetch::KeptStore, kept)),
+        _ => None,
+    }
 }
 
 /// The cost to one stream of a time in which its engine reads prompts without a break: the pauses
@@ -272,6 +293,11 @@
 }
 
 impl<'a> Surroundings<'a> {
+    fn is_reachable(&self, worker: WorkerId) -> bool {
+        let backend = self.backends.get(worker);
+        backend.is_some_and(|backend| backend.is_reachable(self.now))
+    }
+
     /// The servers of a service that may be tried. One that could not be reached lately is tried
     /// only when there is no other.
     fn usable(&self, service: &'a str) -> impl Iterator<Item = (WorkerId, &'a Backend)> {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -10,6 +10,7 @@
 pub mod dialect;
 pub mod event_stream;
 pub mod forward;
+pub mod kept;
 pub mod lease;
 pub mod link;
 pub mod notice;
@@ -147,6 +148,7 @@
         peers::spawn(&shared)?;
         watch::spawn(&shared, &store);
         weights::spawn(&shared, &store);
+        kept::spawn(&shared);
         server::spawn_readiness(&shared).await?;
         let server = server::CallerServer::bind(&shared).await?;
         Ok(Self { shared, server })
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,7 +11,7 @@
         DurationMs, TimeMs, Tokens, Verdict, WorkerId,
         gateway::{
             CacheScope, CallKind, Choice, CustomerSpec, Fetch, ModelCall, PartNote, Route,
-            RoutingTable, Surroundings, chain_of, choose_model, choose_plain, scoped,
+            RoutingTable, Surroundings, chain_of, choose_model, choose_plain, kept_store, scoped,
         },
     },
     http::{HeaderMap, Method, Request, Uri},
@@ -176,6 +176,7 @@
                     wall: self.wall(),
                     parts: &prompt.parts,
                     chain: &self.chain,
+                    has_kept_store: self.routing.kept_store().is_some() && state.kept_store_answers,
                     named: named.map_or(&[], Vec::as_slice),
                 };
                 choose_model(&around, service, &call)
@@ -206,7 +207,7 @@
                     Fetch::Engine(worker) => engine(worker),
                     Fetch::KeptStore => self.routing.kept_store(),
                 }),
-                save_to: None,
+                save_to: choice.saves.then(|| self.routing.kept_store()).flatten(),
             })
         });
         let head = SendHead {
@@ -233,12 +234,19 @@
         };
         let scope = CacheScope::of(&prompt.model, weights, self.wall());
         let shared_parts = self.chain.len().saturating_sub(1);
+        // What is saved or fetched there has been used there.
+        let uses_kept = is_read && (choice.saves || choice.fetch == Some(Fetch::KeptStore));
+        let workers = [Some(choice.worker), uses_kept.then(kept_store)];
         let notes: Vec<PartNote> = self.chain[..shared_parts]
             .iter()
-            .map(|link| PartNote {
-                part: scoped(scope, *link),
-                worker: choice.worker,
-                is_read,
+            .flat_map(|link| {
+                let part = scoped(scope, *link);
+                let workers = workers.into_iter().flatten();
+                workers.map(move |worker| PartNote {
+                    part,
+                    worker,
+                    is_read,
+                })
             })
             .collect();
         shared.state.borrow_mut().note_parts(&notes, now());
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -130,6 +130,15 @@
     pub accepted: u64,
 }
 
+/// What the store of kept KV cache tells of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeptState {
+    /// Its life. A restart empties it.
+    pub incarnation: u64,
+    /// What to ask for next.
+    pub next: u64,
+}
+
 /// What an engine answers to an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderAnswer {
@@ -180,6 +189,13 @@
     /// Reads an engine's state.
     fn read_state(&self, model: &str, body: &[u8]) -> Option<OrderState>;
 
+    /// A question to the store of kept KV cache for what changes there after `since`, held until
+    /// something does or `wait_ms` have passed.
+    fn ask_kept(&self, since: u64, wait_ms: DurationMs) -> Request<Full<Bytes>>;
+
+    /// Reads the answer: the life of the store and what to ask for next.
+    fn read_kept(&self, body: &[u8]) -> Option<KeptState>;
+
     /// Whether an answer of this kind of call is a stream of events.
     fn is_event_stream(&self, kind: CallKind, status: u16, headers: &HeaderMap) -> bool;
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -42,6 +42,8 @@
     pub budget: RetryBudget,
     /// The weights that were named, oldest first, by model.
     pub weights: Table<String, Vec<NamedWeights>>,
+    /// Whether the store of kept KV cache answers.
+    pub kept_store_answers: bool,
     /// Other gateways.
     pub peers: Peers,
     /// When another gateway was last heard to be rolling weights out.
@@ -69,6 +71,7 @@
             cached: CachedParts::default(),
             budget: RetryBudget::new(settings.budget),
             weights: Table::default(),
+            kept_store_answers: false,
             peers,
             rollout_heard_at_ms: None,
             old_weights_ms: settings.old_weights_ms,
