--- a/core/src/gateway/backend.rs
+++ b/core/src/gateway/backend.rs
@@ -115,14 +115,6 @@
         }
     }
 
-    /// Notes the weights that it has told itself.
-    pub fn set_weights(&mut self, model: &str, version: WeightsVersion) {
-        let row = self.spec.weights.iter_mut().find(|row| row.0 == model);
-        if let Some(row) = row {
-            row.1 = version;
-        }
-    }
-
     /// Notes a request that is being sent.
     pub fn note_sent(&mut self, unread: Tokens, now: TimeMs) {
         self.note_queued(unread, now);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -147,7 +147,7 @@
                 self.vanished.remove(&worker);
                 tracing::info!(
                     backend = spec.instance, service = spec.service, address = %spec.address,
-                    is_ready = spec.is_ready, row_version = row.version, "backend server listed"
+                    is_ready = spec.is_ready, weights = spec.weights.first().map(|row| row.1.0), row_version = row.version, "backend server listed"
                 );
                 let restarted = self.backends.upsert(spec);
                 if restarted {
