Send requests that mostly write to few engines, apart from long prompts

Cause: an engine that reads long prompts writes slowly, and one with long answers takes up to five seconds to end its runs before it loads new weights. Both were mixed on all engines.

--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -10,6 +10,7 @@
         id::{WeightsVersion, WorkerId},
         unit::{DurationMs, TimeMs, Tokens},
     },
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// The cost of leaving the entry VM's failure domain, in milliseconds: bytes between failure
@@ -46,8 +47,21 @@
 /// The time before older weights are no longer permitted in which none is used any more: what a
 /// request may take on the way and in the engine's queue.
 const OLD_WEIGHTS_MARGIN_MS: DurationMs = DurationMs(700);
-/// The cost of disturbing a backend server that is about to change its weights.
-const HELD_MS: u64 = 600;
+/// The cost of sending a long answer to an engine that is about to change its weights, and must
+/// bring it to its end before.
+const HELD_FROM_WRITING_MS: u64 = 1_500;
+/// The cost of sending a short answer there.
+const HELD_FROM_READING_MS: u64 = 150;
+/// Prompt tokens for one token of the answer below which a request mostly writes. Writing a token
+/// takes an engine about as long as reading this many.
+const READ_TOKENS_PER_WRITTEN: u64 = 48;
+/// The cost of each step away from the engines that write, in milliseconds.
+const PACK_MS: u64 = 20;
+/// The share of an engine's slots that requests which mostly write fill before the next engine is
+/// taken, in percent.
+const CROWDED_PERCENT: u64 = 45;
+/// The cost of each further request there, in milliseconds.
+const CROWD_MS: u64 = 12;
 
 /// Where an engine finds cached parts that it lacks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -112,6 +126,8 @@
     pub wall: Option<&'a str>,
     /// The parts of its prompt. The last one is its own.
     pub parts: &'a [PromptPart],
+    /// The longest answer.
+    pub max_answer: Tokens,
     /// [`super::chain_of`] the parts.
     pub chain: &'a [u64],
     /// Whether there is a store of kept KV cache that answers.
@@ -150,7 +166,13 @@
     service: &ServiceSpec,
     call: &ModelCall<'_>,
 ) -> Option<Choice> {
-    let home_key = call.chain.iter().rev().nth(1).copied().unwrap_or_default();
+    // Requests that mostly write share few engines, the same in all entry VMs, so that long
+    // prompts are read elsewhere; the others go where their shared parts are.
+    let home_key = if call.mostly_writes() {
+        xxh3_64(call.model.as_bytes())
+    } else {
+        call.chain.iter().rev().nth(1).copied().unwrap_or_default()
+    };
     let mut engines: Vec<(WorkerId, &Backend, WeightsVersion)> = around
         .usable(&service.name)
         .filter_map(|(worker, backend)| Some((worker, backend, backend.weights(call.model)?)))
@@ -210,22 +232,39 @@
     };
     let read_ms = (own + reread + backend.queued(around.now).0) / READ_TOKENS_PER_MS;
     let first_token_ms = read_ms + fetch_ms;
-    let home_ms = if held == shared {
-        0
+    let streams = backend.occupancy(around.now);
+    let (home_ms, crowd_ms, held_ms) = if call.mostly_writes() {
+        let free_slots = backend.spec.slots * CROWDED_PERCENT / 100;
+        let crowd = streams.saturating_sub(free_slots);
+        (
+            steps_from_home * PACK_MS,
+            crowd * CROWD_MS,
+            HELD_FROM_WRITING_MS,
+        )
     } else {
-        steps_from_home * RANK_MS
+        let home_ms = if held == shared {
+            0
+        } else {
+            steps_from_home * RANK_MS
+        };
+        (home_ms, streams * BATCH_MS, HELD_FROM_READING_MS)
+    };
+    let held_ms = if around.now < backend.held_until_ms {
+        held_ms
+    } else {
+        0
     };
     let queued_ms = backend.queued(around.now).0 / READ_TOKENS_PER_MS;
     let later_ms = queued_ms + (own + reread) / READ_TOKENS_PER_MS;
-    let streams = backend.occupancy(around.now);
     // What the reading does to streams that are there already, and to this one.
     let others_late_ms = streams * (stall_ms(later_ms) - stall_ms(queued_ms));
     let cost = first_token_ms
         + others_late_ms
         + stall_ms(later_ms)
         + reread * REREAD_MS_PER_THOUSAND / 1_000
-        + backend.occupancy(around.now) * BATCH_MS
         + home_ms
+        + crowd_ms
+        + held_ms
         + old_weights_ms(weights, call.named, around.now)
         + around.standing_cost(backend);
     let choice = Choice {
@@ -292,6 +331,14 @@
     }
 }
 
+impl ModelCall<'_> {
+    /// Whether an engine spends more on writing its answer than on reading its prompt.
+    fn mostly_writes(&self) -> bool {
+        let prompt: u64 = self.parts.iter().map(|part| part.tokens.0).sum();
+        prompt < self.max_answer.0 * READ_TOKENS_PER_WRITTEN
+    }
+}
+
 impl<'a> Surroundings<'a> {
     fn is_reachable(&self, worker: WorkerId) -> bool {
         let backend = self.backends.get(worker);
@@ -322,11 +369,6 @@
         } else {
             OTHER_DOMAIN_MS
         };
-        let held = if self.now < backend.held_until_ms {
-            HELD_MS
-        } else {
-            0
-        };
-        distance + held + backend.failure_share(self.now) * FAILING_MS / ALWAYS_FAILS
+        distance + backend.failure_share(self.now) * FAILING_MS / ALWAYS_FAILS
     }
 }
--- a/core/src/gateway/rollout.rs
+++ b/core/src/gateway/rollout.rs
@@ -20,7 +20,7 @@
 const SPARED_SHARE: usize = 4;
 /// How long an engine is spared before it is ordered though it has not ended its runs: most runs
 /// end within this time.
-const SPARED_LIMIT_MS: DurationMs = DurationMs(900);
+const SPARED_LIMIT_MS: DurationMs = DurationMs(600);
 /// How long to wait for the answer to a question or an order before asking again.
 const ANSWER_MS: DurationMs = DurationMs(600);
 /// How often an engine that carries an order out is asked whether it is done.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -175,6 +175,7 @@
                     model: &prompt.model,
                     wall: self.wall(),
                     parts: &prompt.parts,
+                    max_answer: prompt.max_answer,
                     chain: &self.chain,
                     has_kept_store: self.routing.kept_store().is_some() && state.kept_store_answers,
                     named: named.map_or(&[], Vec::as_slice),
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     cactusspur_core::{
-        DurationMs, FencingNumber, WeightsVersion,
+        DurationMs, FencingNumber, Tokens, WeightsVersion,
         gateway::{BackendSpec, CallKind, Load, OrderState, PromptPart, RoutingTable},
     },
     derive_more::{Display, Error},
@@ -35,6 +35,8 @@
     pub model: String,
     /// Its parts in order. The last one is the request's own.
     pub parts: Vec<PromptPart>,
+    /// The longest answer that the caller asks for.
+    pub max_answer: Tokens,
 }
 
 /// The head of a request can't be read.
