--- /dev/null
+++ b/core/tests/gateway/cached.rs
@@ -0,0 +1,102 @@
+//! Beliefs about cached parts never cross a wall, a version or a restart.
+
+use {
+    crate::fixture::{DOMAIN, NOW, World, long_prompt, shared_keys, spec, worker},
+    cactusspur_core::{
+        DurationMs, TimeMs, WeightsVersion,
+        gateway::{CacheScope, CachedParts, Fetch, PartNote},
+    },
+    test_case::test_case,
+};
+
+#[test_case(2, None; "newer weights")]
+#[test_case(1, Some("isolated"); "an isolated customer")]
+fn scopes_share_nothing(weights: u64, wall: Option<&str>) {
+    let prompt = long_prompt(1, 1);
+    let shared = shared_keys(&prompt, 1, None);
+    let other = shared_keys(&prompt, weights, wall);
+    assert!(shared.iter().all(|key| !other.contains(key)));
+    assert_ne!(
+        CacheScope::of("model", WeightsVersion(1), None),
+        CacheScope::of("model", WeightsVersion(weights), wall)
+    );
+}
+
+#[test]
+fn an_isolated_customer_does_not_fetch_what_others_read() {
+    let mut world = World::with_engines(4);
+    let prompt = long_prompt(1, 1);
+    world.note_read(&prompt, worker(0), None, NOW);
+    let shared = world.choose(&prompt, NOW).expect("an engine");
+    assert!(shared.worker == worker(0) || shared.fetch == Some(Fetch::Engine(worker(0))));
+    let walled = world.choose_for(&prompt, Some("isolated"), &[], NOW);
+    assert_eq!(walled.expect("an engine").fetch, None);
+}
+
+#[test]
+fn a_part_counts_only_behind_those_before_it() {
+    let mut cached = CachedParts::default();
+    let keys = shared_keys(&long_prompt(1, 1), 1, None);
+    let note = PartNote {
+        part: keys[1],
+        worker: worker(0),
+        is_read: true,
+    };
+    cached.note(note, NOW);
+    assert_eq!(cached.depth(&keys, worker(0), NOW), 0);
+    cached.note(
+        PartNote {
+            part: keys[0],
+            ..note
+        },
+        NOW,
+    );
+    assert_eq!(cached.depth(&keys, worker(0), NOW), 2);
+}
+
+#[test]
+fn what_is_still_being_read_is_no_source() {
+    let mut cached = CachedParts::default();
+    let keys = shared_keys(&long_prompt(1, 1), 1, None);
+    for part in &keys {
+        let note = PartNote {
+            part: *part,
+            worker: worker(0),
+            is_read: false,
+        };
+        cached.note(note, NOW);
+    }
+    assert_eq!(cached.depth(&keys, worker(0), NOW), 2);
+    assert_eq!(cached.read_depth(&keys, worker(0), NOW), 0);
+}
+
+#[test]
+fn beliefs_fade_and_restarts_end_them() {
+    let mut world = World::with_engines(1);
+    let prompt = long_prompt(1, 1);
+    let keys = shared_keys(&prompt, 1, None);
+    world.note_read(&prompt, worker(0), None, NOW);
+    let later = NOW.after(DurationMs(60_000));
+    assert_eq!(world.cached.depth(&keys, worker(0), later), 0);
+    let mut restarted = spec(0, "engines", 64);
+    restarted.born_ms = 2;
+    assert_eq!(restarted.domain, DOMAIN);
+    assert!(world.backends.upsert(restarted));
+    world.cached.forget(worker(0));
+    assert_eq!(world.cached.depth(&keys, worker(0), NOW), 0);
+}
+
+#[test]
+fn memory_stays_bounded() {
+    let mut cached = CachedParts::default();
+    for part in 0..50_000 {
+        let note = PartNote {
+            part,
+            worker: worker(0),
+            is_read: true,
+        };
+        cached.note(note, TimeMs(part));
+    }
+    assert!(cached.len() <= 6_000, "{}", cached.len());
+    assert!(cached.holds(49_999, worker(0), TimeMs(50_000)));
+}
--- /dev/null
+++ b/core/tests/gateway/load.rs
@@ -0,0 +1,220 @@
+//! Loads that were seen to hurt, each by the name of its pattern.
+
+use {
+    crate::fixture::{NOW, World, long_prompt, short_prompt, worker},
+    cactusspur_core::{
+        DurationMs, Tokens, WorkerId,
+        gateway::{Fetch, kept_store},
+    },
+    std::collections::BTreeMap,
+    test_case::test_case,
+};
+
+/// Sends `count` requests of a kind, one every `every_ms`, and counts where they went.
+fn spread<F>(world: &mut World, count: u64, every_ms: u64, prompt: F) -> BTreeMap<WorkerId, u64>
+where
+    F: Fn(u64) -> crate::fixture::Prompt,
+{
+    let mut counts = BTreeMap::new();
+    for number in 0..count {
+        let now = NOW.after(DurationMs(number * every_ms));
+        let choice = world.choose(&prompt(number), now).expect("an engine");
+        world.note_sent(&choice, now);
+        // The queue that is estimated from sends is what is looked at here.
+        let backend = world.backends.get_mut(choice.worker).expect("an engine");
+        backend.note_read(choice.unread);
+        *counts.entry(choice.worker).or_default() += 1;
+    }
+    counts
+}
+
+/// Pattern: long prompts beside long answers. Reading makes the pauses of answers on the same
+/// engine long, so the two go to different engines while there are enough.
+#[test]
+fn long_prompts_and_long_answers_keep_apart() {
+    let mut world = World::with_engines(12);
+    let writers = spread(&mut world, 60, 15, |number| short_prompt(number, number));
+    assert!(
+        writers.len() <= 4,
+        "answers are written on {} engines",
+        writers.len()
+    );
+    let readers = spread(&mut world, 8, 40, |number| long_prompt(number, number));
+    let shared = readers.keys().filter(|engine| writers.contains_key(engine));
+    assert_eq!(shared.count(), 0);
+}
+
+/// Pattern: many long answers. One engine is not filled to its last slot before the next is used.
+#[test]
+fn long_answers_spread_before_slots_run_out() {
+    let mut world = World::with_engines(12);
+    let writers = spread(&mut world, 200, 15, |number| short_prompt(number, number));
+    let most = writers.values().max().copied().unwrap_or_default();
+    assert!(most < 60, "{most} answers on one engine of 64 slots");
+}
+
+/// Pattern: a burst of cold prompts. Each entry VM counts what all have sent, so that a burst
+/// does not queue up at one engine.
+#[test]
+fn a_burst_of_cold_prompts_spreads() {
+    let mut world = World::with_engines(6);
+    let readers = spread(&mut world, 18, 0, |number| long_prompt(number, number));
+    let most = readers.values().max().copied().unwrap_or_default();
+    assert!(most <= 4, "{most} of 18 cold prompts at one of 6 engines");
+}
+
+/// Pattern: a queue that other entry VMs made. Their sends count until the engine has had the
+/// time to read them.
+#[test]
+fn sends_of_peers_count_until_they_are_read() {
+    let mut world = World::with_engines(2);
+    let prompt = long_prompt(1, 1);
+    let home = world.choose(&prompt, NOW).expect("an engine").worker;
+    let backend = world.backends.get_mut(home).expect("the home");
+    backend.note_queued(Tokens(40_000), NOW);
+    let busy = world.choose(&prompt, NOW).expect("an engine").worker;
+    assert_ne!(busy, home);
+    let read = NOW.after(DurationMs(1_500));
+    assert_eq!(world.choose(&prompt, read).expect("an engine").worker, home);
+}
+
+/// Pattern: capacity that crashed. Engines that can't be reached are left out at once, and what
+/// they held is fetched from others or read elsewhere.
+#[test]
+fn crashed_capacity_is_left_out() {
+    let mut world = World::with_engines(3);
+    let prompt = long_prompt(1, 1);
+    let home = world.choose(&prompt, NOW).expect("an engine").worker;
+    world.note_read(&prompt, home, None, NOW);
+    let backend = world.backends.get_mut(home).expect("the home");
+    backend.note_unreachable(NOW);
+    let choice = world.choose(&prompt, NOW).expect("an engine");
+    assert_ne!(choice.worker, home);
+    assert_eq!(choice.fetch, None, "a crashed engine is no source");
+    let later = NOW.after(DurationMs(15_000));
+    assert_eq!(
+        world.choose(&prompt, later).expect("an engine").worker,
+        home
+    );
+}
+
+/// Pattern: all engines unreachable. One is tried all the same.
+#[test]
+fn the_last_engines_are_tried_though_they_failed() {
+    let mut world = World::with_engines(2);
+    for number in 0..2 {
+        let backend = world.backends.get_mut(worker(number)).expect("an engine");
+        backend.note_unreachable(NOW);
+    }
+    assert!(world.choose(&long_prompt(1, 1), NOW).is_some());
+}
+
+/// Pattern: a hot part. Where its home is busy, another engine fetches it instead of reading it.
+#[test]
+fn a_hot_part_is_fetched_where_its_home_is_busy() {
+    let mut world = World::with_engines(4);
+    let prompt = long_prompt(1, 1);
+    let home = world.choose(&prompt, NOW).expect("an engine").worker;
+    world.note_read(&prompt, home, None, NOW);
+    let backend = world.backends.get_mut(home).expect("the home");
+    backend.note_queued(Tokens(30_000), NOW);
+    let choice = world.choose(&long_prompt(1, 2), NOW).expect("an engine");
+    assert_ne!(choice.worker, home);
+    assert_eq!(choice.fetch, Some(Fetch::Engine(home)));
+    assert_eq!(choice.unread, Tokens(2_890), "only its own part is read");
+}
+
+/// Pattern: eviction. The store of kept cache is named as a source also where nothing seems to be
+/// lacking, and parts that it lacks are saved there.
+#[test]
+fn the_kept_store_backs_engines_that_evict() {
+    let mut world = World::with_engines(4);
+    world.has_kept_store = true;
+    let prompt = long_prompt(1, 1);
+    let first = world.choose(&prompt, NOW).expect("an engine");
+    assert!(first.saves);
+    world.note_read(&prompt, first.worker, None, NOW);
+    world.note_read(&prompt, kept_store(), None, NOW);
+    let again = world.choose(&long_prompt(1, 2), NOW).expect("an engine");
+    assert!(!again.saves);
+    assert_eq!(again.worker, first.worker);
+    assert_eq!(again.fetch, Some(Fetch::KeptStore));
+}
+
+/// Pattern: weights that change under load. Old weights are used while they are permitted, and
+/// engines that load get nothing.
+#[test_case(0, true; "just named")]
+#[test_case(9_000, true; "still permitted")]
+#[test_case(9_500, false; "a request might begin too late")]
+fn old_weights_are_used_while_they_are_permitted(age_ms: u64, expected: bool) {
+    let mut world = World::with_engines(2);
+    world.name(2, NOW);
+    let now = NOW.after(DurationMs(age_ms));
+    assert_eq!(world.choose(&long_prompt(1, 1), now).is_some(), expected);
+}
+
+#[test]
+fn the_first_newer_weights_end_the_time_of_older_ones() {
+    let mut world = World::with_engines(2);
+    world.name(2, NOW);
+    world.name(3, NOW.after(DurationMs(8_000)));
+    let now = NOW.after(DurationMs(9_500));
+    assert_eq!(world.choose(&long_prompt(1, 1), now), None);
+}
+
+#[test]
+fn engines_that_load_get_nothing() {
+    let mut world = World::with_engines(2);
+    let prompt = long_prompt(1, 1);
+    let home = world.choose(&prompt, NOW).expect("an engine").worker;
+    let backend = world.backends.get_mut(home).expect("the home");
+    backend.loading_until_ms = NOW.after(DurationMs(500));
+    assert_ne!(world.choose(&prompt, NOW).expect("an engine").worker, home);
+}
+
+/// Pattern: a server that fails while its health is good. Its share falls with its failures, and
+/// returns.
+#[test]
+fn a_failing_server_is_avoided_and_forgiven() {
+    let mut world = World::with_plain(3, 6);
+    let failing = worker(0);
+    for _ in 0..6 {
+        let backend = world.backends.get_mut(failing).expect("a server");
+        backend.note_result(false, NOW);
+    }
+    let chosen = |now| {
+        let draws = (0..300).filter_map(|draw| world.choose_plain(draw, now));
+        draws.filter(|choice| choice.worker == failing).count()
+    };
+    assert_eq!(chosen(NOW), 0);
+    assert!(chosen(NOW.after(DurationMs(60_000))) > 50);
+}
+
+/// Pattern: equal stale views. Idle servers share requests evenly over draws.
+#[test]
+fn idle_servers_share_evenly() {
+    let world = World::with_plain(3, 6);
+    for number in 0..3 {
+        let draws = (0..300).filter_map(|draw| world.choose_plain(draw, NOW));
+        let count = draws
+            .filter(|choice| choice.worker == worker(number))
+            .count();
+        assert!(
+            (70..=130).contains(&count),
+            "server {number}: {count} of 300"
+        );
+    }
+}
+
+/// Pattern: an engine that tells a high load. Long prompts go elsewhere.
+#[test]
+fn told_load_counts() {
+    let mut world = World::with_engines(2);
+    let prompt = long_prompt(1, 1);
+    let home = world.choose(&prompt, NOW).expect("an engine").worker;
+    let number = (0..2)
+        .find(|number| worker(*number) == home)
+        .expect("a number");
+    world.load(number, 60, NOW);
+    assert_ne!(world.choose(&prompt, NOW).expect("an engine").worker, home);
+}
--- /dev/null
+++ b/core/tests/gateway/main.rs
@@ -0,0 +1,8 @@
+//! The decisions of a gateway, without a network.
+
+mod budget;
+mod cached;
+mod fixture;
+mod load;
+mod rollout;
+mod routing;
