--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -162,7 +162,7 @@
         let Some(choice) = call.choose(shared, &tried) else {
             break;
         };
-        let outcome = attempt_within(shared, call, choice, sends).await;
+        let outcome = attempt_within(shared, call, choice, &tried, sends).await;
         tried.push(choice.worker);
         sends += 1;
         match outcome {
@@ -207,10 +207,12 @@
     shared: &Rc<Shared>,
     call: &Rc<Call>,
     choice: Choice,
+    tried: &[WorkerId],
     earlier_sends: usize,
 ) -> Tried {
-    let limit = limit_of(call, earlier_sends);
-    let tries = async {
+    let others = call.choose(shared, &[tried, &[choice.worker]].concat());
+    let limit = limit_of(call, others.is_some(), earlier_sends);
+    let exchange = async {
         let first = attempt(shared, call, &choice).await;
         match (&first, &call.head.prompt) {
             (Tried::Failed(failed), Some(prompt)) if failed.has_other_weights => {
@@ -229,7 +231,7 @@
             _ => first,
         }
     };
-    match timeout(limit, tries).await {
+    match timeout(limit, exchange).await {
         Ok(outcome) => outcome,
         Err(_) => Tried::Failed(silent(shared, &choice)),
     }
@@ -245,11 +247,12 @@
         .increment(1);
 }
 
-/// How long one try may take until its head has come.
-fn limit_of(call: &Call, earlier_sends: usize) -> Duration {
+/// How long one try may take until its head has come. It is cut short only where another server
+/// may do better.
+fn limit_of(call: &Call, has_others: bool, earlier_sends: usize) -> Duration {
     let left_ms = call.left_ms().0;
     let is_last = earlier_sends + 1 >= call.route.max_backends;
-    let limit_ms = if is_last || call.kind() != CallKind::Idempotent {
+    let limit_ms = if is_last || !has_others || call.kind() != CallKind::Idempotent {
         left_ms
     } else {
         left_ms.min(call.route.target_ms.0 * SILENT_PERCENT / 100)
