--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -81,6 +81,8 @@
     pub fetch: Option<Fetch>,
     /// Whether the parts are saved in the store of kept KV cache.
     pub saves: bool,
+    /// Whether the request mostly writes.
+    pub mostly_writes: bool,
     /// Prompt tokens that it is predicted to read.
     pub unread: Tokens,
     /// The weights that the request runs on, of a model's.
@@ -126,6 +128,11 @@
     pub wall: Option<&'a str>,
     /// The parts of its prompt. The last one is its own.
     pub parts: &'a [PromptPart],
+    /// Requests of all entry VMs that mostly write and are in progress, as far as this one can
+    /// tell.
+    pub writing: u64,
+    /// A number that was drawn for the request.
+    pub draw: u64,
     /// The longest answer.
     pub max_answer: Tokens,
     /// [`super::chain_of`] the parts.
@@ -153,6 +160,7 @@
         worker: best.0,
         fetch: None,
         saves: false,
+        mostly_writes: false,
         unread: Tokens(0),
         weights: None,
         first_token_ms: DurationMs(0),
@@ -234,13 +242,16 @@
     let first_token_ms = read_ms + fetch_ms;
     let streams = backend.occupancy(around.now);
     let (home_ms, crowd_ms, held_ms) = if call.mostly_writes() {
-        let free_slots = backend.spec.slots * CROWDED_PERCENT / 100;
+        let free_slots = (backend.spec.slots * CROWDED_PERCENT / 100).max(1);
         let crowd = streams.saturating_sub(free_slots);
-        (
-            steps_from_home * PACK_MS,
-            crowd * CROWD_MS,
-            HELD_FROM_WRITING_MS,
-        )
+        // All entry VMs look at the same few engines, each in an order of its own for each
+        // request: with equal views they would all take the first one.
+        let writers = 1 + call.writing / free_slots;
+        let home_ms = match steps_from_home.checked_sub(writers) {
+            Some(steps) => (steps + 1) * PACK_MS,
+            None => rank(call.draw, worker) % PACK_MS,
+        };
+        (home_ms, crowd * CROWD_MS, HELD_FROM_WRITING_MS)
     } else {
         let home_ms = if held == shared {
             0
@@ -270,6 +281,7 @@
     let choice = Choice {
         worker,
         fetch: source.map(|(source, _)| source),
+        mostly_writes: call.mostly_writes(),
         saves: call.has_kept_store
             && shared > 0
             && around.cached.read_depth(&keys, kept_store(), around.now) < shared,
@@ -333,7 +345,8 @@
 
 impl ModelCall<'_> {
     /// Whether an engine spends more on writing its answer than on reading its prompt.
-    fn mostly_writes(&self) -> bool {
+    #[must_use]
+    pub fn mostly_writes(&self) -> bool {
         let prompt: u64 = self.parts.iter().map(|part| part.tokens.0).sum();
         prompt < self.max_answer.0 * READ_TOKENS_PER_WRITTEN
     }
--- a/core/tests/gateway/fixture.rs
+++ b/core/tests/gateway/fixture.rs
@@ -103,6 +103,8 @@
     pub cached: CachedParts,
     pub named: Vec<NamedWeights>,
     pub has_kept_store: bool,
+    pub writing: u64,
+    pub draw: u64,
 }
 
 impl World {
@@ -155,6 +157,8 @@
             model: MODEL,
             wall,
             parts: &prompt.parts,
+            writing: self.writing,
+            draw: self.draw,
             max_answer: prompt.max_answer,
             chain: &chain,
             has_kept_store: self.has_kept_store,
--- a/core/tests/gateway/load.rs
+++ b/core/tests/gateway/load.rs
@@ -4,7 +4,7 @@
     crate::fixture::{NOW, World, long_prompt, short_prompt, worker},
     cactusspur_core::{
         DurationMs, Tokens, WorkerId,
-        gateway::{Fetch, kept_store},
+        gateway::{Fetch, kept_store, rank},
     },
     std::collections::BTreeMap,
     test_case::test_case,
@@ -20,6 +20,8 @@
         let now = NOW.after(DurationMs(number * every_ms));
         let choice = world.choose(&prompt(number), now).expect("an engine");
         world.note_sent(&choice, now);
+        world.writing += u64::from(choice.mostly_writes);
+        world.draw = rank(number, choice.worker);
         // The queue that is estimated from sends is what is looked at here.
         let backend = world.backends.get_mut(choice.worker).expect("an engine");
         backend.note_read(choice.unread);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -172,6 +172,8 @@
             (Some(prompt), Some(service)) if !prompt.parts.is_empty() => {
                 let named = state.weights.get(&prompt.model);
                 let call = ModelCall {
+                    writing: state.writing * state.peers.sharing() as u64,
+                    draw: self.draw,
                     model: &prompt.model,
                     wall: self.wall(),
                     parts: &prompt.parts,
@@ -272,15 +274,19 @@
     /// The server.
     pub worker: WorkerId,
     unread: Cell<Tokens>,
+    writes: bool,
 }
 
 impl InFlight {
     /// Notes that a request is sent.
     #[must_use]
     pub fn begin(shared: &Rc<Shared>, choice: &Choice) -> Self {
-        if let Some(backend) = shared.state.borrow_mut().backends.get_mut(choice.worker) {
+        let mut state = shared.state.borrow_mut();
+        state.writing += u64::from(choice.mostly_writes);
+        if let Some(backend) = state.backends.get_mut(choice.worker) {
             backend.note_sent(choice.unread, now());
         }
+        drop(state);
         if choice.unread > Tokens(0) {
             shared.peers.note_sent(shared, choice.worker, choice.unread);
         }
@@ -288,6 +294,7 @@
             shared: Rc::clone(shared),
             worker: choice.worker,
             unread: Cell::new(choice.unread),
+            writes: choice.mostly_writes,
         }
     }
 
@@ -305,6 +312,7 @@
     fn drop(&mut self) {
         self.first_token();
         let mut state = self.shared.state.borrow_mut();
+        state.writing = state.writing.saturating_sub(u64::from(self.writes));
         if let Some(backend) = state.backends.get_mut(self.worker) {
             backend.note_ended();
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -44,6 +44,8 @@
     pub weights: Table<String, Vec<NamedWeights>>,
     /// Whether the store of kept KV cache answers.
     pub kept_store_answers: bool,
+    /// This gateway's requests in progress that mostly write.
+    pub writing: u64,
     /// Other gateways.
     pub peers: Peers,
     /// When another gateway was last heard to be rolling weights out.
@@ -72,6 +74,7 @@
             budget: RetryBudget::new(settings.budget),
             weights: Table::default(),
             kept_store_answers: false,
+            writing: 0,
             peers,
             rollout_heard_at_ms: None,
             old_weights_ms: settings.old_weights_ms,
