--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -57,6 +57,10 @@
 const READ_TOKENS_PER_WRITTEN: u64 = 48;
 /// The cost of each step away from the engines that write, in milliseconds.
 const PACK_MS: u64 = 20;
+/// Steps that count at the most: beyond these, one engine is as good as another.
+const MAX_STEPS: u64 = 4;
+/// The cost of reading a long prompt where others write, in milliseconds.
+const WRITER_MS: u64 = 90;
 /// The share of an engine's slots that requests which mostly write fill before the next engine is
 /// taken, in percent.
 const CROWDED_PERCENT: u64 = 45;
@@ -174,22 +178,37 @@
     service: &ServiceSpec,
     call: &ModelCall<'_>,
 ) -> Option<Choice> {
-    // Requests that mostly write share few engines, the same in all entry VMs, so that long
-    // prompts are read elsewhere; the others go where their shared parts are.
-    let home_key = if call.mostly_writes() {
-        xxh3_64(call.model.as_bytes())
-    } else {
-        call.chain.iter().rev().nth(1).copied().unwrap_or_default()
-    };
-    let mut engines: Vec<(WorkerId, &Backend, WeightsVersion)> = around
+    let mut engines: Vec<Candidate<'_>> = around
         .usable(&service.name)
-        .filter_map(|(worker, backend)| Some((worker, backend, backend.weights(call.model)?)))
-        .filter(|engine| is_permitted(engine.2, call.named, around.now))
+        .filter_map(|(worker, backend)| {
+            Some(Candidate {
+                worker,
+                backend,
+                weights: backend.weights(call.model)?,
+                is_writer: false,
+            })
+        })
+        .filter(|engine| is_permitted(engine.weights, call.named, around.now))
         .collect();
-    engines.sort_by_key(|engine| std::cmp::Reverse(rank(home_key, engine.0)));
+    // Requests that mostly write share few engines, the same in all entry VMs, so that long
+    // prompts are read elsewhere; the others go where their shared parts are.
+    let writers_key = xxh3_64(call.model.as_bytes());
+    engines.sort_by_key(|engine| std::cmp::Reverse(rank(writers_key, engine.worker)));
+    let slots = engines.first().map_or(1, Candidate::free_slots);
+    let writers = 1 + usize::try_from(call.writing / slots).unwrap_or(usize::MAX);
+    for engine in engines.iter_mut().take(writers) {
+        engine.is_writer = true;
+    }
+    if !call.mostly_writes() {
+        let home_key = call.chain.iter().rev().nth(1).copied().unwrap_or_default();
+        engines.sort_by_key(|engine| {
+            let ranked = std::cmp::Reverse(rank(home_key, engine.worker));
+            (engine.is_writer, ranked)
+        });
+    }
     let predictions = engines.iter().enumerate();
     predictions
-        .map(|(steps, engine)| predict(around, service, call, *engine, steps as u64))
+        .map(|(steps, engine)| predict(around, service, call, engine, steps as u64))
         .min_by_key(|(cost, _)| *cost)
         .map(|(_, choice)| choice)
 }
@@ -213,9 +232,15 @@
     around: &Surroundings<'_>,
     service: &ServiceSpec,
     call: &ModelCall<'_>,
-    (worker, backend, weights): (WorkerId, &Backend, WeightsVersion),
+    engine: &Candidate<'_>,
     steps_from_home: u64,
 ) -> (u64, Choice) {
+    let Candidate {
+        worker,
+        backend,
+        weights,
+        is_writer,
+    } = *engine;
     let scope = CacheScope::of(call.model, weights, call.wall);
     let shared = call.parts.len().saturating_sub(1);
     let keys: Vec<u64> = call.chain[..shared]
@@ -242,23 +267,23 @@
     let first_token_ms = read_ms + fetch_ms;
     let streams = backend.occupancy(around.now);
     let (home_ms, crowd_ms, held_ms) = if call.mostly_writes() {
-        let free_slots = (backend.spec.slots * CROWDED_PERCENT / 100).max(1);
-        let crowd = streams.saturating_sub(free_slots);
-        // All entry VMs look at the same few engines, each in an order of its own for each
-        // request: with equal views they would all take the first one.
-        let writers = 1 + call.writing / free_slots;
-        let home_ms = match steps_from_home.checked_sub(writers) {
-            Some(steps) => (steps + 1) * PACK_MS,
-            None => rank(call.draw, worker) % PACK_MS,
+        let crowd = streams.saturating_sub(engine.free_slots());
+        // With equal views all entry VMs would take the first writer, so each request has an
+        // order of its own.
+        let home_ms = if is_writer {
+            rank(call.draw, worker) % PACK_MS
+        } else {
+            PACK_MS + steps_from_home.min(MAX_STEPS) * RANK_MS
         };
         (home_ms, crowd * CROWD_MS, HELD_FROM_WRITING_MS)
     } else {
         let home_ms = if held == shared {
             0
         } else {
-            steps_from_home * RANK_MS
+            steps_from_home.min(MAX_STEPS) * RANK_MS
         };
-        (home_ms, streams * BATCH_MS, HELD_FROM_READING_MS)
+        let crowd_ms = streams * BATCH_MS + if is_writer { WRITER_MS } else { 0 };
+        (home_ms, crowd_ms, HELD_FROM_READING_MS)
     };
     let held_ms = if around.now < backend.held_until_ms {
         held_ms
@@ -292,6 +317,23 @@
     (cost, choice)
 }
 
+/// An engine that may take a request.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    worker: WorkerId,
+    backend: &'a Backend,
+    weights: WeightsVersion,
+    /// Whether it is one of those that requests which mostly write share.
+    is_writer: bool,
+}
+
+impl Candidate<'_> {
+    /// The requests that mostly write which it takes before the next one is used.
+    fn free_slots(&self) -> u64 {
+        (self.backend.spec.slots * CROWDED_PERCENT / 100).max(1)
+    }
+}
+
 /// Where an engine fetches parts that it lacks: from the engine that holds the most of them, or
 /// from the store of kept KV cache. The store is named also when the engine is believed to lack
 /// nothing: it may have evicted parts, and naming a source costs next to nothing.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -172,7 +172,7 @@
             (Some(prompt), Some(service)) if !prompt.parts.is_empty() => {
                 let named = state.weights.get(&prompt.model);
                 let call = ModelCall {
-                    writing: state.writing * state.peers.sharing() as u64,
+                    writing: state.writing + state.peers.writing(now()),
                     draw: self.draw,
                     model: &prompt.model,
                     wall: self.wall(),
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -19,6 +19,8 @@
     pub parts: Vec<PartNote>,
     /// The weights that the sender knows to be named, and for how long.
     pub weights: Vec<WeightsNotice>,
+    /// The sender's requests in progress that mostly write.
+    pub writing: u64,
     /// Prompt tokens that were sent to engines since the last notice.
     pub sent: Vec<(WorkerId, Tokens)>,
     /// What the sender is doing as the holder of the lease on orders.
@@ -65,10 +67,12 @@
     name: String,
     heard_at_ms: Option<TimeMs>,
     is_stopping: bool,
+    writing: u64,
 }
 
 /// How long a peer counts as running after it was last heard.
 const RUNNING_MS: DurationMs = DurationMs(4_000);
+
 impl Peers {
     /// Notes an address at which a peer may listen.
     pub fn add(&mut self, address: SocketAddr) {
@@ -80,20 +84,14 @@
                     name: String::new(),
                     heard_at_ms: None,
                     is_stopping: false,
+                    writing: 0,
                 },
             );
         }
     }
 
-    /// Notes that a peer was heard.
-    /// Gives back whether it was not running before.
-    pub fn heard(
-        &mut self,
-        address: SocketAddr,
-        name: &str,
-        is_stopping: bool,
-        now: TimeMs,
-    ) -> bool {
+    /// Notes that a peer was heard. Gives back whether it was not running before.
+    pub fn heard(&mut self, address: SocketAddr, notice: &Notice, now: TimeMs) -> bool {
         self.add(address);
         let mut was_running = false;
         if let Ok(at) = self.search(address) {
@@ -102,10 +100,9 @@
                 .heard_at_ms
                 .is_some_and(|at| now.since(at) < RUNNING_MS);
             peer.heard_at_ms = Some(now);
-            peer.is_stopping = is_stopping;
-            if peer.name != name {
-                name.clone_into(&mut peer.name);
-            }
+            peer.is_stopping = notice.is_stopping;
+            peer.writing = notice.writing;
+            peer.name.clone_from(&notice.name);
         }
         !was_running
     }
@@ -124,6 +121,16 @@
         heard.map(|peer| peer.name.as_str())
     }
 
+    /// The requests in progress of peers that mostly write.
+    #[must_use]
+    pub fn writing(&self, now: TimeMs) -> u64 {
+        let running = self.rows.iter().filter(|peer| {
+            peer.heard_at_ms
+                .is_some_and(|at| now.since(at) < RUNNING_MS)
+        });
+        running.map(|peer| peer.writing).sum()
+    }
+
     /// The gateways that share a common budget, this one included. One that isn't heard any more
     /// counts, since it may go on spending behind a cut.
     #[must_use]
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -33,7 +33,7 @@
 /// The largest datagram.
 const MAX_DATAGRAM_BYTES: usize = 8_192;
 /// Peers that are told, from this one's place in the order of addresses on.
-const MAX_TOLD: usize = 12;
+const MAX_TOLD: usize = 64;
 
 /// The ways to other gateways.
 pub struct PeerGroup {
@@ -172,6 +172,7 @@
             address: Some(self.address),
             newest: state.replica.newest(),
             weights: state.weights_notices(now()),
+            writing: state.writing,
             sent: self.sent.take(),
             parts,
             rollout: self.rollout.borrow().clone(),
@@ -281,9 +282,7 @@
     };
     let now = now();
     let mut state = shared.state.borrow_mut();
-    let is_new = state
-        .peers
-        .heard(address, &notice.name, notice.is_stopping, now);
+    let is_new = state.peers.heard(address, notice, now);
     state.note_notice(notice, now);
     if is_new {
         // It may have started just now and know little.
