--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -160,7 +160,7 @@
             Ask::PullChanges { after } => self.changes_after(after),
             Ask::Vms => self.known_vms(now),
             // Only gateways keep copies of tables.
-            Ask::Notice(_) | Ask::PullTables => Answer::UpToDate,
+            Ask::Notice(_) | Ask::PullTables { .. } => Answer::UpToDate,
         };
         self.envelope(now, ask.number, answer)
     }
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -13,6 +13,10 @@
     pub name: String,
     /// Where the sender listens for peers.
     pub address: Option<SocketAddr>,
+    /// The sender's failure domain.
+    pub domain: String,
+    /// How long ago the store answered the sender; none if it never did.
+    pub store_age_ms: Option<DurationMs>,
     /// The newest change that the sender knows of each watched table.
     pub newest: Vec<(String, u64)>,
     /// Parts of prompts that backend servers hold or are reading.
@@ -68,10 +72,18 @@
     heard_at_ms: Option<TimeMs>,
     is_stopping: bool,
     writing: u64,
+    domain: String,
+    store_heard_at_ms: Option<TimeMs>,
 }
 
 /// How long a peer counts as running after it was last heard.
 const RUNNING_MS: DurationMs = DurationMs(4_000);
+/// How long a peer is relied on to tell what the store does, after it was last heard. Shorter,
+/// since a change must be in force everywhere within two seconds.
+const WATCHER_RUNNING_MS: DurationMs = DurationMs(1_600);
+/// How long ago the store may have answered a peer that is relied on: the longest poll, and what a
+/// notice takes to tell of it.
+const STORE_HEARD_MS: DurationMs = DurationMs(4_500);
 
 impl Peers {
     /// Notes an address at which a peer may listen.
@@ -85,6 +97,8 @@
                     heard_at_ms: None,
                     is_stopping: false,
                     writing: 0,
+                    domain: String::new(),
+                    store_heard_at_ms: None,
                 },
             );
         }
@@ -102,6 +116,9 @@
             peer.heard_at_ms = Some(now);
             peer.is_stopping = notice.is_stopping;
             peer.writing = notice.writing;
+            peer.domain.clone_from(&notice.domain);
+            let store_age_ms = notice.store_age_ms;
+            peer.store_heard_at_ms = store_age_ms.map(|age| TimeMs(now.0.saturating_sub(age.0)));
             peer.name.clone_from(&notice.name);
         }
         !was_running
@@ -121,6 +138,33 @@
         heard.map(|peer| peer.name.as_str())
     }
 
+    /// The addresses of peers in a failure domain.
+    pub fn addresses_in(&self, domain: &str) -> impl Iterator<Item = SocketAddr> {
+        let near = self.rows.iter().filter(move |peer| peer.domain == domain);
+        near.map(|peer| peer.address)
+    }
+
+    /// Whether an address is that of a peer in a failure domain.
+    #[must_use]
+    pub fn is_in(&self, address: SocketAddr, domain: &str) -> bool {
+        let found = self.search(address).map(|at| &self.rows[at]);
+        found.is_ok_and(|peer| peer.domain == domain)
+    }
+
+    /// The names of peers in a failure domain that run and hear from the store.
+    pub fn watching(&self, domain: &str, now: TimeMs) -> impl Iterator<Item = &str> {
+        let watching = self.rows.iter().filter(move |peer| {
+            let is_running = peer
+                .heard_at_ms
+                .is_some_and(|at| now.since(at) < WATCHER_RUNNING_MS);
+            let hears = peer
+                .store_heard_at_ms
+                .is_some_and(|at| now.since(at) < STORE_HEARD_MS);
+            is_running && hears && !peer.is_stopping && peer.domain == domain
+        });
+        watching.map(|peer| peer.name.as_str())
+    }
+
     /// The requests in progress of peers that mostly write.
     #[must_use]
     pub fn writing(&self, now: TimeMs) -> u64 {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -29,7 +29,10 @@
 /// Notes about cached parts in one datagram; more would not fit into one packet.
 const MAX_NOTES: usize = 60;
 /// How long a gateway waits for its own poll before it pulls a newer version from a peer.
-const PULL_AFTER: Duration = Duration::from_millis(200);
+const PULL_AFTER: Duration = Duration::from_millis(100);
+/// How long it waits for a peer of its own failure domain before it pulls from another domain:
+/// bytes between failure domains are paid for.
+const PULL_FAR_AFTER: Duration = Duration::from_millis(700);
 /// The largest datagram.
 const MAX_DATAGRAM_BYTES: usize = 8_192;
 /// Peers that are told, from this one's place in the order of addresses on.
@@ -143,7 +146,8 @@
         let link = Rc::clone(self.links.borrow_mut().get_or_insert_with(address, || {
             Rc::new(PeerLink::open(address, self.key.clone()))
         }));
-        let ask = self.envelope(Ask::PullTables);
+        let known = shared.state.borrow().replica.heads();
+        let ask = self.envelope(Ask::PullTables { known });
         match link.ask(now(), &ask).await {
             Ok(Envelope {
                 message: Answer::Tables(tables),
@@ -153,7 +157,7 @@
                 tracing::info!(%address, ?heads, "tables pulled from a peer");
                 let any = !tables.is_empty();
                 for table in tables {
-                    watch::replace(shared, table);
+                    watch::merge_from_peer(shared, table);
                 }
                 any
             }
@@ -170,6 +174,8 @@
         Notice {
             name: self.name.clone(),
             address: Some(self.address),
+            domain: shared.settings.domain.clone(),
+            store_age_ms: state.store_age_ms(now()),
             newest: state.replica.newest(),
             weights: state.weights_notices(now()),
             writing: state.writing,
@@ -181,6 +187,27 @@
     }
 
     fn send(&self, shared: &Shared, notice: Notice) {
+        let addresses: Vec<SocketAddr> = shared.state.borrow().peers.addresses().collect();
+        let own_place = addresses.partition_point(|address| *address < self.address);
+        let told = addresses.iter().cycle().skip(own_place);
+        let told = told.take(addresses.len().min(MAX_TOLD));
+        self.send_to(notice, told);
+    }
+
+    /// Tells the peers of this failure domain that a table has changed. They pull what is new, so
+    /// that not all of them ask the store.
+    pub fn announce_near(&self, shared: &Shared) {
+        let notice = self.notice(shared, Vec::new());
+        let state = shared.state.borrow();
+        let near: Vec<SocketAddr> = state.peers.addresses_in(&shared.settings.domain).collect();
+        drop(state);
+        self.send_to(notice, near.iter());
+    }
+
+    fn send_to<'a, A>(&self, notice: Notice, told: A)
+    where
+        A: Iterator<Item = &'a SocketAddr>,
+    {
         let ask = self.envelope(Ask::Notice(notice));
         let sealed: Bytes = match SealedAsk::seal(&self.key, &ask) {
             Ok(sealed) => sealed.into(),
@@ -189,11 +216,7 @@
                 return;
             }
         };
-        let state = shared.state.borrow();
-        let addresses: Vec<SocketAddr> = state.peers.addresses().collect();
-        let own_place = addresses.partition_point(|address| *address < self.address);
-        let told = addresses.iter().cycle().skip(own_place);
-        for address in told.take(addresses.len().min(MAX_TOLD)) {
+        for address in told {
             if let Err(error) = self.socket.try_send_to(&sealed, *address) {
                 // The next notice says the same.
                 tracing::debug!(%address, %error, "a notice was not sent");
@@ -232,8 +255,10 @@
 }
 
 fn answer(shared: &Rc<Shared>, ask: &Envelope<Ask>) -> Envelope<Answer> {
-    let message = match ask.message {
-        Ask::PullTables => Answer::Tables(shared.state.borrow().replica.copies()),
+    let message = match &ask.message {
+        Ask::PullTables { known } => {
+            Answer::Tables(shared.state.borrow().replica.changes_since(known))
+        }
         _ => Answer::UpToDate,
     };
     Envelope {
@@ -290,13 +315,12 @@
         shared.peers.announce(shared);
         state = shared.state.borrow_mut();
     }
-    if is_behind(&state.replica.newest(), &notice.newest) {
+    let is_near = state.peers.is_in(address, &shared.settings.domain);
+    if is_behind(&state.replica.heads(), &notice.newest) {
         drop(state);
-        ntex::rt::spawn(pull_later(
-            Rc::clone(shared),
-            address,
-            notice.newest.clone(),
-        ));
+        let wait = if is_near { PULL_AFTER } else { PULL_FAR_AFTER };
+        let newest = notice.newest.clone();
+        ntex::rt::spawn(pull_later(Rc::clone(shared), address, newest, wait));
     }
 }
 
@@ -307,12 +331,17 @@
     })
 }
 
-async fn pull_later(shared: Rc<Shared>, address: SocketAddr, told: Vec<(String, u64)>) {
+async fn pull_later(
+    shared: Rc<Shared>,
+    address: SocketAddr,
+    told: Vec<(String, u64)>,
+    wait: Duration,
+) {
     if shared.peers.is_pulling.get() {
         return;
     }
-    sleep(PULL_AFTER).await;
-    let still_behind = is_behind(&shared.state.borrow().replica.newest(), &told);
+    sleep(wait).await;
+    let still_behind = is_behind(&shared.state.borrow().replica.heads(), &told);
     if still_behind && !shared.peers.is_pulling.replace(true) {
         shared.peers.pull(&shared, address).await;
         shared.peers.is_pulling.set(false);
--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -26,7 +26,7 @@
     pub name: String,
     /// The store's version up to which the copy is complete.
     pub head: u64,
-    /// Its rows.
+    /// Its rows, or those that have changed since a version that the reader knows.
     pub rows: Vec<StoredRow>,
 }
 
@@ -96,21 +96,34 @@
         self.merge(&whole.name, rows, whole.head)
     }
 
-    /// All tables that were read, as they are known here.
+    /// What is known here of all tables that were read, beyond the versions up to which somebody
+    /// else knows them. Removed rows are among them.
     #[must_use]
-    pub fn copies(&self) -> Vec<TableCopy> {
+    pub fn changes_since(&self, known: &[(String, u64)]) -> Vec<TableCopy> {
         self.tables
             .iter()
             .filter_map(|(name, copy)| {
+                let after = known.iter().find(|row| row.0 == *name);
+                let after = after.map_or(0, |row| row.1);
+                let rows = copy.rows.iter().map(|row| row.1);
                 Some(TableCopy {
                     name: name.clone(),
                     head: copy.head?,
-                    rows: copy.rows.iter().map(|row| row.1.clone()).collect(),
+                    rows: rows.filter(|row| row.version > after).cloned().collect(),
                 })
             })
             .collect()
     }
 
+    /// The versions of the store up to which each table that was read is known.
+    #[must_use]
+    pub fn heads(&self) -> Vec<(String, u64)> {
+        self.tables
+            .iter()
+            .filter_map(|(name, copy)| Some((name.clone(), copy.head?)))
+            .collect()
+    }
+
     /// The newest change of each table that was read. Unlike heads, which rise with each poll,
     /// these are equal in copies that hold the same.
     #[must_use]
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -52,6 +52,7 @@
     pub rollout_heard_at_ms: Option<TimeMs>,
     old_weights_ms: DurationMs,
     outage_at_ms: Option<TimeMs>,
+    store_heard_at_ms: Option<TimeMs>,
     vanished: Table<WorkerId, TimeMs>,
     watched: usize,
 }
@@ -79,6 +80,7 @@
             rollout_heard_at_ms: None,
             old_weights_ms: settings.old_weights_ms,
             outage_at_ms: None,
+            store_heard_at_ms: None,
             vanished: Table::default(),
             watched: 0,
         }
@@ -105,6 +107,17 @@
         self.budget.withdraw(service, self.peers.sharing(), now)
     }
 
+    /// Notes that the store answered.
+    pub fn note_store(&mut self, now: TimeMs) {
+        self.store_heard_at_ms = Some(now);
+    }
+
+    /// How long ago the store answered.
+    #[must_use]
+    pub fn store_age_ms(&self, now: TimeMs) -> Option<DurationMs> {
+        self.store_heard_at_ms.map(|at| now.since(at))
+    }
+
     /// Notes that the store did not answer.
     pub fn note_outage(&mut self, now: TimeMs) {
         self.outage_at_ms = Some(now);
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -7,7 +7,7 @@
         replica::{StoredRow, TableCopy},
         store::{Changes, MetadataStore, StoreError},
     },
-    cactusspur_core::DurationMs,
+    cactusspur_core::{DurationMs, WorkerId, gateway::rank},
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -15,6 +15,10 @@
 /// How long the store may hold a poll. An answer that takes longer than that shows that the
 /// store, or the way to it, has gone silent.
 const POLL_MS: DurationMs = DurationMs(3_000);
+/// Gateways of a failure domain that ask the store: one, and one in case it fails.
+const WATCHERS: usize = 2;
+/// How often a gateway that doesn't looks whether it should.
+const WATCHER_LOOK: Duration = Duration::from_millis(250);
 /// The wait after a first failure; it doubles with each further one. Every call is paid for.
 const MIN_BACK_OFF_MS: u64 = 100;
 /// The longest wait after a failure: part of the time in which a change must be in force after
@@ -90,8 +94,14 @@
 {
     let mut failures: u32 = 0;
     loop {
+        let is_known = shared.state.borrow().replica.head(table).is_some();
+        if is_known && !is_watcher(&shared) {
+            sleep(WATCHER_LOOK).await;
+            continue;
+        }
         match poll(&shared, store.as_ref(), table).await {
             Ok(()) => {
+                shared.state.borrow_mut().note_store(now());
                 if failures > 0 {
                     tracing::info!(table, failures, "the store answers again");
                 }
@@ -112,6 +122,21 @@
     }
 }
 
+/// Whether this gateway asks the store itself. Only some of each failure domain do; the others
+/// hear from them. All agree on who does without talking, and one whose watchers fall silent
+/// takes their place.
+fn is_watcher(shared: &Shared) -> bool {
+    let own = watcher_rank(&shared.settings.name);
+    let state = shared.state.borrow();
+    let watching = state.peers.watching(&shared.settings.domain, now());
+    let before = watching.filter(|name| watcher_rank(name) > own);
+    before.count() < WATCHERS
+}
+
+fn watcher_rank(name: &str) -> u64 {
+    rank(0, WorkerId::of(name))
+}
+
 async fn poll<S>(shared: &Rc<Shared>, store: &S, table: &str) -> Result<(), StoreError>
 where
     S: MetadataStore,
@@ -142,8 +167,18 @@
     apply(shared, table, &fresh);
 }
 
-/// Takes a whole table in, from the store or from a peer.
-pub fn replace(shared: &Rc<Shared>, whole: TableCopy) {
+/// Takes what a peer knows of a table in.
+pub fn merge_from_peer(shared: &Rc<Shared>, copy: TableCopy) {
+    let fresh = shared
+        .state
+        .borrow_mut()
+        .replica
+        .merge(&copy.name, copy.rows, copy.head);
+    apply(shared, &copy.name, &fresh);
+}
+
+/// Takes a whole table in.
+fn replace(shared: &Rc<Shared>, whole: TableCopy) {
     let table = whole.name.clone();
     let fresh = shared.state.borrow_mut().replica.replace(whole);
     apply(shared, &table, &fresh);
@@ -157,7 +192,7 @@
         .state
         .borrow_mut()
         .apply(shared.dialect.as_ref(), table, fresh, now());
-    shared.peers.announce(shared);
+    shared.peers.announce_near(shared);
     if changed {
         shared.weights_changed.notify_one();
     }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -91,8 +91,11 @@
     Vms,
     /// Tells what a gateway has learnt. Sent as a datagram, not answered.
     Notice(Notice),
-    /// Asks a gateway for its copies of tables of the platform's store.
-    PullTables,
+    /// Asks a gateway for what has changed in its copies of tables of the platform's store.
+    PullTables {
+        /// The versions of the store up to which the sender knows each table.
+        known: Vec<(String, u64)>,
+    },
 }
 
 /// What the other answers.
