--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -19,7 +19,7 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::{net::UdpSocket, time::sleep},
+    tokio::{net::UdpSocket, sync::mpsc, time::sleep},
 };
 
 /// How often a gateway tells its peers that it runs and what it knows.
@@ -33,14 +33,32 @@
 /// How long it waits for a peer of its own failure domain before it pulls from another domain:
 /// bytes between failure domains are paid for.
 const PULL_FAR_AFTER: Duration = Duration::from_millis(700);
+/// Notices that wait to be sent; further ones are dropped.
+const MAX_OUTGOING: usize = 64;
 /// The largest datagram.
 const MAX_DATAGRAM_BYTES: usize = 8_192;
 /// Peers that are told, from this one's place in the order of addresses on.
 const MAX_TOLD: usize = 64;
 
+/// A datagram and those it goes to.
+type Outgoing = (Bytes, Vec<SocketAddr>);
+
+/// Sends datagrams, as fast as the system takes them.
+async fn send_out(socket: Rc<UdpSocket>, mut outgoing: mpsc::Receiver<Outgoing>) {
+    while let Some((datagram, told)) = outgoing.recv().await {
+        for address in told {
+            if let Err(error) = socket.send_to(&datagram, address).await {
+                // The next notice says the same.
+                tracing::debug!(%address, %error, "a notice was not sent");
+            }
+        }
+    }
+}
+
 /// The ways to other gateways.
 pub struct PeerGroup {
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
+    outbox: mpsc::Sender<Outgoing>,
     key: PeerKey,
     me: EntryId,
     name: String,
@@ -65,9 +83,13 @@
             .await
             .change_context(GatewayError)
             .attach(settings.peers_address)?;
+        let socket = Rc::new(socket);
+        let (outbox, outgoing) = mpsc::channel(MAX_OUTGOING);
+        ntex::rt::spawn(send_out(Rc::clone(&socket), outgoing));
         let key = PeerKey::derive(&settings.shared_key).change_context(GatewayError)?;
         Ok(Self {
             socket,
+            outbox,
             key,
             me: EntryId::of(&settings.name),
             name: settings.name.clone(),
@@ -216,11 +238,10 @@
                 return;
             }
         };
-        for address in told {
-            if let Err(error) = self.socket.try_send_to(&sealed, *address) {
-                // The next notice says the same.
-                tracing::debug!(%address, %error, "a notice was not sent");
-            }
+        let told: Vec<SocketAddr> = told.copied().collect();
+        if self.outbox.try_send((sealed, told)).is_err() {
+            // The next notice says the same.
+            metrics::counter!("cactusspur_notices_dropped_total").increment(1);
         }
     }
 
