--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -13,6 +13,8 @@
     pub name: String,
     /// Where the sender listens for peers.
     pub address: Option<SocketAddr>,
+    /// Some other gateways that the sender knows.
+    pub others: Vec<SocketAddr>,
     /// The sender's failure domain.
     pub domain: String,
     /// How long ago the store answered the sender; none if it never did.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -33,6 +33,8 @@
 /// How long it waits for a peer of its own failure domain before it pulls from another domain:
 /// bytes between failure domains are paid for.
 const PULL_FAR_AFTER: Duration = Duration::from_millis(700);
+/// Other gateways that a notice names.
+const MAX_OTHERS: usize = 4;
 /// Notices that wait to be sent; further ones are dropped.
 const MAX_OUTGOING: usize = 64;
 /// The largest datagram.
@@ -40,6 +42,15 @@
 /// Peers that are told, from this one's place in the order of addresses on.
 const MAX_TOLD: usize = 64;
 
+/// A few addresses that are drawn anew each time, so that all are told sooner or later.
+fn some_of(addresses: &[SocketAddr]) -> Vec<SocketAddr> {
+    let drawn = (0..MAX_OTHERS).filter_map(|_| {
+        let count = addresses.len().max(1);
+        addresses.get(rand::random_range(0..count)).copied()
+    });
+    drawn.collect()
+}
+
 /// A datagram and those it goes to.
 type Outgoing = (Bytes, Vec<SocketAddr>);
 
@@ -196,6 +207,7 @@
         Notice {
             name: self.name.clone(),
             address: Some(self.address),
+            others: some_of(&state.peers.addresses().collect::<Vec<_>>()),
             domain: shared.settings.domain.clone(),
             store_age_ms: state.store_age_ms(now()),
             newest: state.replica.newest(),
@@ -328,6 +340,11 @@
     };
     let now = now();
     let mut state = shared.state.borrow_mut();
+    for other in &notice.others {
+        if *other != shared.settings.peers_address {
+            state.peers.add(*other);
+        }
+    }
     let is_new = state.peers.heard(address, notice, now);
     state.note_notice(notice, now);
     if is_new {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -26,6 +26,9 @@
 const MAX_BACK_OFF_MS: u64 = 800;
 /// The table in which gateways enter their addresses.
 const GATEWAYS_TABLE: &str = "gateways";
+/// When a gateway enters its address, and reads those of the others again: all may start at once,
+/// each before the others have entered theirs.
+const REGISTER_AT: [Duration; 2] = [Duration::ZERO, Duration::from_secs(3)];
 /// How long to wait before a failed registration is tried again. Peers learn of each other by
 /// notices too, so there is no hurry.
 const REGISTER_RETRY: Duration = Duration::from_secs(2);
@@ -51,11 +54,14 @@
 where
     S: MetadataStore,
 {
-    while let Err(error) = register_once(&shared, store.as_ref()).await {
-        tracing::debug!(%error, "this gateway is not registered yet");
-        sleep(REGISTER_RETRY).await;
+    for wait in REGISTER_AT {
+        sleep(wait).await;
+        while let Err(error) = register_once(&shared, store.as_ref()).await {
+            tracing::debug!(%error, "this gateway is not registered yet");
+            sleep(REGISTER_RETRY).await;
+        }
+        shared.peers.announce(&shared);
     }
-    shared.peers.announce(&shared);
 }
 
 async fn register_once<S>(shared: &Rc<Shared>, store: &S) -> Result<(), StoreError>
@@ -93,9 +99,11 @@
     S: MetadataStore,
 {
     let mut failures: u32 = 0;
+    let mut asks = true;
     loop {
         let is_known = shared.state.borrow().replica.head(table).is_some();
-        if is_known && !is_watcher(&shared) {
+        asks = !is_known || is_watcher(&shared, asks);
+        if !asks {
             sleep(WATCHER_LOOK).await;
             continue;
         }
@@ -123,14 +131,14 @@
 }
 
 /// Whether this gateway asks the store itself. Only some of each failure domain do; the others
-/// hear from them. All agree on who does without talking, and one whose watchers fall silent
-/// takes their place.
-fn is_watcher(shared: &Shared) -> bool {
+/// hear from them, and take their place when they fall silent. When too many ask, those that come
+/// last in an order which all agree on stop.
+fn is_watcher(shared: &Shared, asks: bool) -> bool {
     let own = watcher_rank(&shared.settings.name);
     let state = shared.state.borrow();
     let watching = state.peers.watching(&shared.settings.domain, now());
-    let before = watching.filter(|name| watcher_rank(name) > own);
-    before.count() < WATCHERS
+    let enough = watching.filter(|name| !asks || watcher_rank(name) > own);
+    enough.count() < WATCHERS
 }
 
 fn watcher_rank(name: &str) -> u64 {
