--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -46,7 +46,10 @@
 const OLD_WEIGHTS_MS: u64 = 150;
 /// The time before older weights are no longer permitted in which none is used any more: what a
 /// request may take on the way and in the engine's queue.
-const OLD_WEIGHTS_MARGIN_MS: DurationMs = DurationMs(700);
+const OLD_WEIGHTS_MARGIN_MS: DurationMs = DurationMs(1_500);
+/// How much sooner than that a server is told to stop, so that a request which has waited too long
+/// in its queue doesn't begin: what the naming and the request take on the way.
+const OLD_WEIGHTS_STOP_MS: DurationMs = DurationMs(300);
 /// The cost of sending a long answer to an engine that is about to change its weights, and must
 /// bring it to its end before.
 const HELD_FROM_WRITING_MS: u64 = 1_500;
@@ -93,6 +96,8 @@
     pub weights: Option<WeightsVersion>,
     /// The predicted time to the first token.
     pub first_token_ms: DurationMs,
+    /// The longest time that it may take, since its weights are no longer permitted after that.
+    pub limit_ms: Option<DurationMs>,
 }
 
 /// What a choice looks at beside the request.
@@ -168,6 +173,7 @@
         unread: Tokens(0),
         weights: None,
         first_token_ms: DurationMs(0),
+        limit_ms: None,
     })
 }
 
@@ -313,6 +319,11 @@
         unread: Tokens(own + reread),
         weights: Some(weights),
         first_token_ms: DurationMs(first_token_ms),
+        limit_ms: outdated_for(weights, call.named, around.now).map(|(age, permitted)| {
+            permitted
+                .saturating_sub(OLD_WEIGHTS_STOP_MS)
+                .saturating_sub(age)
+        }),
     };
     (cost, choice)
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -213,9 +213,10 @@
                 save_to: choice.saves.then(|| self.routing.kept_store()).flatten(),
             })
         });
+        let left_ms = self.deadline_ms.since(now());
         let head = SendHead {
             instance: &spec.instance,
-            deadline_ms: self.deadline_ms.since(now()),
+            deadline_ms: choice.limit_ms.map_or(left_ms, |limit| limit.min(left_ms)),
             customer: self
                 .customer
                 .as_ref()
