--- a/core/src/system/credits.rs
+++ b/core/src/system/credits.rs
@@ -11,6 +11,7 @@
     request::Request,
     system::placement::Placement,
     unit::{DurationMs, MicroCredits, Tokens},
+    verdict::Cause,
 };
 
 /// The time between two tries of a draw.
@@ -29,29 +30,36 @@
     cost(request.with_answer(uncached), price)
 }
 
-/// Whether the class and the customer's credits allow the cost. The class's limit is compared with
+/// Checks that the class and the customer's credits allow the cost. The class's limit is compared with
 /// what is known to be cached; credits have to be there even if nothing is. Customers without
 /// declared credits are not metered.
-pub fn allows(core: &mut Core, id: RequestId, class: &Class, placed: &Placement) -> bool {
-    let Some(request) = core.requests.get(&id) else {
-        return false;
-    };
+///
+/// # Errors
+///
+/// Why the request can't be paid for.
+pub fn check(
+    core: &mut Core,
+    id: RequestId,
+    class: &Class,
+    placed: &Placement,
+) -> Result<(), Cause> {
+    let request = core.requests.get(&id).ok_or(Cause::Unknown)?;
     let expected = &placed.expected;
     let present = expected.cached_pieces.max(expected.imported_pieces);
     if estimate(request, present, expected.price) > class.max_cost_microcredits {
-        return false;
+        return Err(Cause::OverCost);
     }
     let most = estimate(request, 0, expected.price);
     let customer = request.customer();
     let (entries, now) = (core.entries as u64, core.now);
     let Some(wallet) = wallet(core, customer) else {
-        return true;
+        return Ok(());
     };
-    let enough = wallet.spendable(entries, now) >= most;
-    if !enough {
-        draw(core, customer, most);
+    if wallet.spendable(entries, now) >= most {
+        return Ok(());
     }
-    enough
+    draw(core, customer, most);
+    Err(Cause::NoCredits)
 }
 
 /// A metered customer's wallet, as declared.
--- a/core/src/system/limits.rs
+++ b/core/src/system/limits.rs
@@ -58,9 +58,7 @@
         return Ok(placed);
     }
     check_target(core, request, class, &placed)?;
-    if !credits::allows(core, id, class, &placed) {
-        return Err(declined(Cause::NoCredits));
-    }
+    credits::check(core, id, class, &placed).map_err(declined)?;
     Ok(placed)
 }
 
--- a/core/src/system/request.rs
+++ b/core/src/system/request.rs
@@ -46,6 +46,7 @@
             return;
         }
     };
+    let arrival = bounded(arrival, &class);
     let once = once_key(&class, &arrival);
     let bytes: usize = arrival.levels.iter().map(Bytes::len).sum();
     let request = Request {
@@ -80,6 +81,21 @@
     once::record(core, id);
 }
 
+/// A request whose answer is no longer than its class allows: a caller that says nothing asks for
+/// the longest one.
+fn bounded(arrival: Arrival, class: &Class) -> Arrival {
+    let longest = match &class.served_by {
+        ServedBy::Model {
+            max_answer_tokens, ..
+        } => *max_answer_tokens,
+        ServedBy::Service { .. } => Tokens(0),
+    };
+    Arrival {
+        max_answer_tokens: arrival.max_answer_tokens.min(longest),
+        ..arrival
+    }
+}
+
 fn admit(core: &Core, arrival: &Arrival) -> Result<Class, Cause> {
     if core.shutting_down {
         return Err(Cause::ShuttingDown);
--- a/core/src/verdict.rs
+++ b/core/src/verdict.rs
@@ -37,7 +37,10 @@
     /// The customer is over its fair share while others wait.
     #[display("over fair share")]
     OverShare,
-    /// The customer's credits are spent, or the cost is over the class's limit.
+    /// The request may cost more than its class allows.
+    #[display("cost over the class's limit")]
+    OverCost,
+    /// The customer's credits are spent.
     #[display("no credits")]
     NoCredits,
     /// The table service can't be asked whether the key has been used.
--- a/core/tests/credits.rs
+++ b/core/tests/credits.rs
@@ -156,7 +156,16 @@
     let rich = vec![grant(&fleet, "seed", 1_000_000, HOUR_MS)];
     fleet.configure(3, vec![cheap], vec![customer("trust", rich)]);
     let result = ask(&mut fleet, &mut Ledger::default(), 0);
-    assert_eq!(result.err(), Some(Cause::NoCredits));
+    assert_eq!(result.err(), Some(Cause::OverCost));
+}
+
+#[test]
+fn an_answer_of_any_length_costs_as_much_as_the_longest_of_its_class() {
+    let mut fleet = metered("entry-0", &[("seed", 1_000_000, HOUR_MS)]);
+    let mut ledger = Ledger::default();
+    assert!(ask(&mut fleet, &mut ledger, 0).is_ok());
+    let commands = fleet.arrive_unbounded(&[text("question 1", 1_000)]);
+    assert!(sent(&commands).is_some(), "{:?}", refused(&commands));
 }
 
 #[test]
--- a/core/tests/fleet/mod.rs
+++ b/core/tests/fleet/mod.rs
@@ -173,6 +173,20 @@
         })
     }
 
+    /// Sends a request that asks for an answer of any length.
+    pub fn arrive_unbounded(&mut self, levels: &[Bytes]) -> Vec<Command> {
+        self.next_request += 1;
+        self.handle(Arrival {
+            request: RequestId(self.next_request),
+            customer: CustomerId::of("trust"),
+            class: ClassId::of("check"),
+            levels: levels.to_vec(),
+            max_answer_tokens: Tokens(u64::MAX),
+            once_key: None,
+            body_hash: 0,
+        })
+    }
+
     pub fn arrive(&mut self, levels: &[Bytes]) -> Vec<Command> {
         self.arrive_as("trust", "check", levels)
     }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -150,6 +150,7 @@
         weights::spawn(&shared, &store);
         kept::spawn(&shared);
         server::spawn_readiness(&shared).await?;
+        server::spawn_metrics(&shared).await?;
         let server = server::CallerServer::bind(&shared).await?;
         Ok(Self { shared, server })
     }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,11 +1,13 @@
 //! Takes callers' connections and questions for readiness in.
 
 use {
-    super::{GatewayError, Shared, answer, forward, link},
+    super::{GatewayError, Shared, answer, clock::now, forward, link},
+    crate::telemetry::open_metrics,
     error_stack::{Report, ResultExt},
-    http::{HeaderValue, Request, Response, StatusCode, header},
+    http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
+    metrics_exporter_prometheus::PrometheusHandle,
     std::{cell::Cell, convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
@@ -141,37 +143,68 @@
 pub async fn spawn_readiness(shared: &Rc<Shared>) -> Result<(), Report<GatewayError>> {
     let listener = listen(shared.settings.readiness_address).await?;
     let shared = Rc::clone(shared);
-    ntex::rt::spawn(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    ntex::rt::spawn(answer_readiness(Rc::clone(&shared), stream));
-                }
-                Err(error) => {
-                    tracing::warn!(%error, "a question for readiness was not accepted");
-                    sleep(ACCEPT_BACK_OFF).await;
-                }
-            }
+    ntex::rt::spawn(answer_all(listener, move |_| {
+        if shared.is_ready() {
+            answer::plain(StatusCode::OK)
+        } else {
+            answer::plain(StatusCode::SERVICE_UNAVAILABLE)
         }
-    });
+    }));
     Ok(())
 }
 
-async fn answer_readiness(shared: Rc<Shared>, stream: TcpStream) {
-    let service = service_fn(|_: Request<Incoming>| {
-        let status = if shared.is_ready() {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
+/// Serves metrics as Prometheus text, and what the gateway believes under `/status`, if the
+/// settings name an address for them.
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub async fn spawn_metrics(shared: &Rc<Shared>) -> Result<(), Report<GatewayError>> {
+    let Some(address) = shared.settings.metrics_address else {
+        return Ok(());
+    };
+    let listener = listen(address).await?;
+    let recorder = open_metrics();
+    let shared = Rc::clone(shared);
+    ntex::rt::spawn(answer_all(listener, move |path| {
+        let body = match path {
+            "/status" => shared.state.borrow().status(now()).to_string(),
+            _ => recorder
+                .as_ref()
+                .map_or(String::new(), PrometheusHandle::render),
         };
-        let response: Response<answer::AnswerBody> = answer::plain(status);
-        async move { Ok::<_, Infallible>(response) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(DEFAULT_IDLE)
-        .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
-        tracing::debug!(%error, "a question for readiness ended");
+        answer::whole(StatusCode::OK, HeaderMap::new(), body.into())
+    }));
+    Ok(())
+}
+
+/// Answers each request on a listener by its path.
+async fn answer_all<F>(listener: TcpListener, answer: F)
+where
+    F: Fn(&str) -> Response<answer::AnswerBody> + Clone + 'static,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "a question was not accepted");
+                sleep(ACCEPT_BACK_OFF).await;
+                continue;
+            }
+        };
+        let answer = answer.clone();
+        ntex::rt::spawn(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let response = answer(request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(DEFAULT_IDLE)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "a question ended");
+            }
+        });
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,6 +12,7 @@
         DurationMs, Table, TimeMs, WeightsVersion, WorkerId,
         gateway::{BackendTable, CachedParts, NamedWeights, PartNote, RetryBudget, RoutingTable},
     },
+    serde_json::{Value, json},
     std::rc::Rc,
 };
 
@@ -107,6 +108,34 @@
         self.budget.withdraw(service, self.peers.sharing(), now)
     }
 
+    /// What it believes, for operators.
+    #[must_use]
+    pub fn status(&self, now: TimeMs) -> Value {
+        let backends = self.backends.iter().map(|(_, backend)| {
+            json!({
+                "instance": backend.spec.instance,
+                "service": backend.spec.service,
+                "address": backend.spec.address,
+                "is_ready": backend.spec.is_ready,
+                "takes_requests": backend.takes_requests(now),
+                "weights": backend.spec.weights,
+                "in_flight": backend.in_flight,
+                "occupancy": backend.occupancy(now),
+                "failure_permille": backend.failure_share(now),
+            })
+        });
+        json!({
+            "configuration": self.routing.as_ref().map(|routing| routing.version),
+            "tables": self.replica.heads(),
+            "store_age_ms": self.store_age_ms(now),
+            "peers": self.peers.running(now).collect::<Vec<_>>(),
+            "weights": self.weights_notices(now),
+            "kept_store_answers": self.kept_store_answers,
+            "cached_parts": self.cached.len(),
+            "backends": backends.collect::<Vec<_>>(),
+        })
+    }
+
     /// Notes that the store answered.
     pub fn note_store(&mut self, now: TimeMs) {
         self.store_heard_at_ms = Some(now);
--- a/standins/src/demo.rs
+++ b/standins/src/demo.rs
@@ -24,6 +24,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
+    tokio::time::sleep,
 };
 
 /// The seed of the requests.
@@ -76,6 +77,7 @@
 
     let figures = send(&cluster, workload).await;
     print_table(&figures);
+    plain_chat(&cluster, workload).await?;
     repeat_call(&cluster, workload).await?;
     show_timeline(&cluster, workload)?;
     if figures
@@ -164,6 +166,44 @@
     println!();
 }
 
+/// Sends the chat that a client library sends with its default arguments. A refusal for lack of
+/// warm engines says when to come back; this does so a few times.
+async fn plain_chat(cluster: &Cluster, workload: Workload) -> Result<(), Report<DemoError>> {
+    const TRIES: usize = 20;
+    const PAUSE: Duration = Duration::from_millis(300);
+    let chats = workload.classes();
+    let class = chats.iter().find(|class| class.service.is_none());
+    let class = class.ok_or_else(|| Report::new(failed("no class to chat with")))?;
+    let entries = cluster.entry_addresses();
+    let address = entries
+        .first()
+        .ok_or_else(|| Report::new(failed("no entry VM")))?;
+    let body = json!({
+        "model": class.name,
+        "messages": [{"role": "user", "content": "Is the band too thin?"}],
+    });
+    for _ in 0..TRIES {
+        let response = cluster
+            .client()
+            .post(format!("http://{address}/v1/chat/completions"))
+            .bearer_auth(api_key(workload.customers()[0].name))
+            .send_json(&body)
+            .await
+            .map_err(|error| Report::new(failed("a chat")).attach(error.to_string()))?;
+        if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+            println!("{} without max_tokens: {}", class.name, response.status());
+            if response.status() == StatusCode::OK {
+                return Ok(());
+            }
+            break;
+        }
+        sleep(PAUSE).await;
+    }
+    Err(Report::new(failed(
+        "a chat with default arguments was refused",
+    )))
+}
+
 /// Sends one call that may not be repeated through two entry VMs; it must have run once.
 async fn repeat_call(cluster: &Cluster, workload: Workload) -> Result<(), Report<DemoError>> {
     let class = once_class(workload)?;
