--- a/core/src/id.rs
+++ b/core/src/id.rs
@@ -132,6 +132,14 @@
     /// The position of an event in one worker's stream of cache events.
     CacheSequence(u64)
 );
+id!(
+    /// The number of one call to the table service, never used twice by a process.
+    CallId(u64)
+);
+id!(
+    /// The version of a row, as the table service counts it.
+    RowVersion(u64)
+);
 id!(
     /// The chained hash of a prompt up to and including one piece.
     PieceHash(u64)
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -35,16 +35,16 @@
         OrderOutcome, RETRY_AFTER_MS, Vm, VmList, VmRole,
     },
     id::{
-        AttemptId, CacheSequence, ClassId, CustomerId, DomainId, EntryId, FencingNumber,
-        Generation, Incarnation, ModelId, OnceKey, PieceHash, RequestId, ServiceId, WeightsVersion,
-        WorkerId,
+        AttemptId, CacheSequence, CallId, ClassId, CustomerId, DomainId, EntryId, FencingNumber,
+        Generation, Incarnation, ModelId, OnceKey, PieceHash, RequestId, RowVersion, ServiceId,
+        WeightsVersion, WorkerId,
     },
     prefix::{
         BYTES_PER_TOKEN, PIECE_BYTES, PIECE_TOKENS, PrefixChain, PrefixScope, tokens_of_bytes,
     },
     record::{
-        CallId, LeaseRecord, LedgerRecord, OnceRecord, OnceState, Record, RecordAnswer, RecordCall,
-        RecordKey, Row, RowVersion, WeightLoad,
+        LeaseRecord, LedgerRecord, OnceRecord, OnceState, Record, RecordAnswer, RecordCall,
+        RecordKey, Row, WeightLoad,
     },
     table::Table,
     unit::{DurationMs, MicroCredits, TimeMs, Tokens, TokensPerSecond},
--- a/core/src/record.rs
+++ b/core/src/record.rs
@@ -2,6 +2,8 @@
 //!
 //! Every write is conditional on the version of the row that it replaces.
 
+pub use crate::id::{CallId, RowVersion};
+
 use {
     crate::{
         id::{
@@ -11,47 +13,10 @@
         unit::{MicroCredits, TimeMs},
     },
     bytes::Bytes,
-    derive_more::{Display, From, Into},
+    derive_more::Display,
     serde::{Deserialize, Serialize},
 };
 
-/// The number of one call to the table service, never used twice by a process.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Display,
-    From,
-    Into,
-    Serialize,
-    Deserialize,
-)]
-pub struct CallId(pub u64);
-
-/// The version of a row, as the table service counts it.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Display,
-    From,
-    Into,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct RowVersion(pub u64);
-
 /// Which row.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize)]
 pub enum RecordKey {
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -25,7 +25,7 @@
         util::Bytes,
         web::{self, HttpRequest, HttpResponse, ServiceConfig, types::State},
     },
-    std::{cell::RefCell, net::SocketAddr, rc::Rc},
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// How the platform behaves.
@@ -139,3 +139,23 @@
     }
     String::from_utf8(decoded).ok()
 }
+
+/// Waits as long as a service's faults say, then refuses a call if the service is down or over its
+/// rate.
+async fn refused<F>(
+    slow_ms: u64,
+    is_down: bool,
+    within_rate: F,
+    over_rate: StatusCode,
+) -> Option<HttpResponse>
+where
+    F: FnOnce() -> bool,
+{
+    if slow_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(slow_ms)).await;
+    }
+    if is_down {
+        return Some(refuse(StatusCode::SERVICE_UNAVAILABLE, "down"));
+    }
+    (!within_rate()).then(|| refuse(over_rate, "rate"))
+}
--- a/standins/src/platform/object.rs
+++ b/standins/src/platform/object.rs
@@ -68,16 +68,19 @@
 /// Waits as long as the store is slow, and gives the refusal of a call that it doesn't take.
 async fn refused(platform: &Platform, write: bool) -> Option<HttpResponse> {
     let faults = platform.faults.borrow().objects();
-    if faults.slow_ms > 0 {
-        tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
-    }
-    if platform.faults.borrow().objects_down {
-        return Some(refuse(StatusCode::SERVICE_UNAVAILABLE, "down"));
-    }
-    let within = if write {
-        platform.object_limit.write()
-    } else {
-        platform.object_limit.read()
+    let is_down = platform.faults.borrow().objects_down;
+    let within = || {
+        if write {
+            platform.object_limit.write()
+        } else {
+            platform.object_limit.read()
+        }
     };
-    (!within).then(|| refuse(StatusCode::SERVICE_UNAVAILABLE, "rate"))
+    super::refused(
+        faults.slow_ms,
+        is_down,
+        within,
+        StatusCode::SERVICE_UNAVAILABLE,
+    )
+    .await
 }
--- a/standins/src/platform/row.rs
+++ b/standins/src/platform/row.rs
@@ -103,16 +103,19 @@
 /// Waits as long as the service is slow, and gives the refusal of a call that it doesn't take.
 async fn refused(platform: &Platform, write: bool) -> Option<HttpResponse> {
     let faults = platform.faults.borrow().table();
-    if faults.slow_ms > 0 {
-        tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
-    }
-    if platform.faults.borrow().down {
-        return Some(refuse(StatusCode::SERVICE_UNAVAILABLE, "down"));
-    }
-    let within = if write {
-        platform.row_limit.write()
-    } else {
-        platform.row_limit.read()
+    let is_down = platform.faults.borrow().down;
+    let within = || {
+        if write {
+            platform.row_limit.write()
+        } else {
+            platform.row_limit.read()
+        }
     };
-    (!within).then(|| refuse(StatusCode::TOO_MANY_REQUESTS, "rate"))
+    super::refused(
+        faults.slow_ms,
+        is_down,
+        within,
+        StatusCode::TOO_MANY_REQUESTS,
+    )
+    .await
 }
