--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -6,32 +6,39 @@
     std::net::SocketAddr,
 };
 
-/// What a gateway tells its peers from time to time, and when something has changed.
+/// What a gateway tells its peers. Short, since each request leads to some.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Notice {
-    /// The sender's name.
-    pub name: String,
     /// Where the sender listens for peers.
     pub address: Option<SocketAddr>,
-    /// Some other gateways that the sender knows.
-    pub others: Vec<SocketAddr>,
-    /// The sender's failure domain.
-    pub domain: String,
-    /// How long ago the store answered the sender; none if it never did.
-    pub store_age_ms: Option<DurationMs>,
-    /// The newest change that the sender knows of each watched table.
-    pub newest: Vec<(String, u64)>,
     /// Parts of prompts that backend servers hold or are reading.
     pub parts: Vec<PartNote>,
-    /// The weights that the sender knows to be named, and for how long.
-    pub weights: Vec<WeightsNotice>,
     /// The sender's requests in progress that mostly write.
     pub writing: u64,
     /// Prompt tokens that were sent to engines since the last notice.
     pub sent: Vec<(WorkerId, Tokens)>,
     /// What the sender is doing as the holder of the lease on orders.
     pub rollout: Option<RolloutNotice>,
-    /// Whether the sender is shutting down.
+    /// What the sender is and knows, from time to time and when that has changed.
+    pub standing: Option<Standing>,
+}
+
+/// What a gateway is and knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing {
+    /// Its name.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Some other gateways that it knows.
+    pub others: Vec<SocketAddr>,
+    /// How long ago the store answered it; none if it never did.
+    pub store_age_ms: Option<DurationMs>,
+    /// The newest change that it knows of each watched table.
+    pub newest: Vec<(String, u64)>,
+    /// The weights that it knows to be named, and for how long.
+    pub weights: Vec<WeightsNotice>,
+    /// Whether it is shutting down.
     pub is_stopping: bool,
 }
 
@@ -87,6 +94,16 @@
 /// notice takes to tell of it.
 const STORE_HEARD_MS: DurationMs = DurationMs(4_500);
 
+impl Peer {
+    fn note_standing(&mut self, standing: &Standing, now: TimeMs) {
+        let store_age_ms = standing.store_age_ms;
+        self.store_heard_at_ms = store_age_ms.map(|age| TimeMs(now.0.saturating_sub(age.0)));
+        self.is_stopping = standing.is_stopping;
+        self.domain.clone_from(&standing.domain);
+        self.name.clone_from(&standing.name);
+    }
+}
+
 impl Peers {
     /// Notes an address at which a peer may listen.
     pub fn add(&mut self, address: SocketAddr) {
@@ -116,12 +133,10 @@
                 .heard_at_ms
                 .is_some_and(|at| now.since(at) < RUNNING_MS);
             peer.heard_at_ms = Some(now);
-            peer.is_stopping = notice.is_stopping;
             peer.writing = notice.writing;
-            peer.domain.clone_from(&notice.domain);
-            let store_age_ms = notice.store_age_ms;
-            peer.store_heard_at_ms = store_age_ms.map(|age| TimeMs(now.0.saturating_sub(age.0)));
-            peer.name.clone_from(&notice.name);
+            if let Some(standing) = &notice.standing {
+                peer.note_standing(standing, now);
+            }
         }
         !was_running
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,7 +5,12 @@
 //! from the peer that told it.
 
 use {
-    super::{GatewayError, GatewaySettings, Shared, clock::now, notice::Notice, watch},
+    super::{
+        GatewayError, GatewaySettings, Shared,
+        clock::now,
+        notice::{Notice, RolloutNotice, Standing},
+        watch,
+    },
     crate::{
         peer::{Answer, Ask, Envelope, PeerKey, PeerLink, PeerServer, SealedAsk},
         timeline::HybridTime,
@@ -80,7 +85,6 @@
     sent: RefCell<Vec<(WorkerId, Tokens)>>,
     is_flush_due: Cell<bool>,
     is_pulling: Cell<bool>,
-    rollout: RefCell<Option<super::notice::RolloutNotice>>,
 }
 
 impl PeerGroup {
@@ -111,21 +115,25 @@
             sent: RefCell::default(),
             is_flush_due: Cell::new(false),
             is_pulling: Cell::new(false),
-            rollout: RefCell::default(),
         })
     }
 
     /// Tells all peers what this gateway knows.
     pub fn announce(&self, shared: &Shared) {
-        let notice = self.notice(shared, Vec::new());
+        let notice = Notice {
+            standing: Some(self.standing(shared)),
+            ..self.notice(shared, Vec::new())
+        };
         self.send(shared, notice);
     }
 
     /// Tells all peers what this gateway does as the holder of the lease on orders.
-    pub fn announce_rollout(&self, shared: &Shared, rollout: super::notice::RolloutNotice) {
-        self.rollout.replace(Some(rollout));
-        self.announce(shared);
-        self.rollout.replace(None);
+    pub fn announce_rollout(&self, shared: &Shared, rollout: RolloutNotice) {
+        let notice = Notice {
+            rollout: Some(rollout),
+            ..self.notice(shared, Vec::new())
+        };
+        self.send(shared, notice);
     }
 
     /// Tells all peers soon that prompt tokens were sent to an engine.
@@ -151,7 +159,8 @@
             peers.is_flush_due.set(false);
             let notes = peers.notes.take();
             if notes.is_empty() {
-                peers.announce(&shared);
+                let notice = peers.notice(&shared, Vec::new());
+                peers.send(&shared, notice);
             }
             for chunk in notes.chunks(MAX_NOTES) {
                 let notice = peers.notice(&shared, chunk.to_vec());
@@ -203,19 +212,25 @@
     }
 
     fn notice(&self, shared: &Shared, parts: Vec<PartNote>) -> Notice {
-        let state = shared.state.borrow();
         Notice {
-            name: self.name.clone(),
             address: Some(self.address),
-            others: some_of(&state.peers.addresses().collect::<Vec<_>>()),
+            parts,
+            writing: shared.state.borrow().writing,
+            sent: self.sent.take(),
+            rollout: None,
+            standing: None,
+        }
+    }
+
+    fn standing(&self, shared: &Shared) -> Standing {
+        let state = shared.state.borrow();
+        Standing {
+            name: self.name.clone(),
             domain: shared.settings.domain.clone(),
+            others: some_of(&state.peers.addresses().collect::<Vec<_>>()),
             store_age_ms: state.store_age_ms(now()),
             newest: state.replica.newest(),
             weights: state.weights_notices(now()),
-            writing: state.writing,
-            sent: self.sent.take(),
-            parts,
-            rollout: self.rollout.borrow().clone(),
             is_stopping: shared.is_stopping.get(),
         }
     }
@@ -231,7 +246,10 @@
     /// Tells the peers of this failure domain that a table has changed. They pull what is new, so
     /// that not all of them ask the store.
     pub fn announce_near(&self, shared: &Shared) {
-        let notice = self.notice(shared, Vec::new());
+        let notice = Notice {
+            standing: Some(self.standing(shared)),
+            ..self.notice(shared, Vec::new())
+        };
         let state = shared.state.borrow();
         let near: Vec<SocketAddr> = state.peers.addresses_in(&shared.settings.domain).collect();
         drop(state);
@@ -340,7 +358,8 @@
     };
     let now = now();
     let mut state = shared.state.borrow_mut();
-    for other in &notice.others {
+    let standing = notice.standing.as_ref();
+    for other in standing.map_or(&[][..], |standing| &standing.others) {
         if *other != shared.settings.peers_address {
             state.peers.add(*other);
         }
@@ -353,11 +372,14 @@
         shared.peers.announce(shared);
         state = shared.state.borrow_mut();
     }
+    let Some(standing) = standing else {
+        return;
+    };
     let is_near = state.peers.is_in(address, &shared.settings.domain);
-    if is_behind(&state.replica.heads(), &notice.newest) {
+    if is_behind(&state.replica.heads(), &standing.newest) {
         drop(state);
         let wait = if is_near { PULL_AFTER } else { PULL_FAR_AFTER };
-        let newest = notice.newest.clone();
+        let newest = standing.newest.clone();
         ntex::rt::spawn(pull_later(Rc::clone(shared), address, newest, wait));
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -273,7 +273,8 @@
 
     /// Takes over what another gateway tells.
     pub fn note_notice(&mut self, notice: &Notice, now: TimeMs) {
-        for told in &notice.weights {
+        let standing = notice.standing.as_ref();
+        for told in standing.map_or(&[][..], |standing| &standing.weights) {
             let heard_at_ms = TimeMs(now.0.saturating_sub(told.age_ms.0));
             if self.newest_weights(&told.model) >= Some(told.version) {
                 self.note_named(&told.model, told.version, heard_at_ms);
