--- a/core/src/gateway/backend.rs
+++ b/core/src/gateway/backend.rs
@@ -196,6 +196,12 @@
         self.failures >> halvings.min(32)
     }
 
+    /// How long ago it told its load.
+    #[must_use]
+    pub fn load_age_ms(&self, now: TimeMs) -> DurationMs {
+        now.since(self.load_at_ms)
+    }
+
     /// The requests that are probably there: what it told last and what was sent since, or this
     /// entry VM's own, whichever is more.
     #[must_use]
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -320,6 +320,7 @@
         });
     };
     let in_flight = InFlight::begin(shared, choice);
+    log_sent(shared, call, choice, last_event);
     call.note_parts(shared, choice, false);
     let reply = shared.links.send(address, request).await;
     let reply = reply.map_err(|failure| note_failure(shared, choice.worker, failure))?;
@@ -348,6 +349,21 @@
     Ok((reply, head, in_flight))
 }
 
+/// Says where a request goes, and what decided it.
+fn log_sent(shared: &Shared, call: &Call, choice: &Choice, last_event: Option<u64>) {
+    let state = shared.state.borrow();
+    let backend = state.backends.get(choice.worker);
+    tracing::info!(
+        request = call.head.request_id, route = call.route.name, worker = %choice.worker,
+        configuration = call.routing.version, weights = choice.weights.map(|weights| weights.0),
+        fetch = ?choice.fetch, unread = choice.unread.0,
+        predicted_ms = choice.first_token_ms.0,
+        occupancy = backend.map(|backend| backend.occupancy(now())),
+        load_age_ms = backend.map(|backend| backend.load_age_ms(now()).0),
+        left_ms = call.left_ms().0, last_event, "sent"
+    );
+}
+
 /// A server states that it has not run a request.
 async fn not_run(shared: &Shared, choice: &Choice, reply: Reply, head: &AnswerHead) -> Failed {
     let status = reply.head.status;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -191,7 +191,7 @@
                 let worker = WorkerId::of(&spec.instance);
                 self.vanished.remove(&worker);
                 tracing::info!(
-                    backend = spec.instance, service = spec.service, address = %spec.address,
+                    %worker, backend = spec.instance, service = spec.service, address = %spec.address,
                     is_ready = spec.is_ready, weights = spec.weights.first().map(|row| row.1.0), row_version = row.version, "backend server listed"
                 );
                 let restarted = self.backends.upsert(spec);
@@ -311,7 +311,7 @@
         let worker = WorkerId::of(&instance);
         let outage = self.outage_at_ms;
         let after_outage = outage.is_some_and(|at| now.since(at) < OUTAGE_RECENT_MS);
-        tracing::info!(backend = instance, after_outage, "backend server vanished");
+        tracing::info!(%worker, backend = instance, after_outage, "backend server vanished");
         if after_outage {
             self.vanished.insert(worker, now);
         } else {
