--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -8,14 +8,17 @@
 pub mod budget;
 pub mod cached;
 pub mod choice;
+mod prediction;
 pub mod rollout;
 pub mod routing;
 
 pub use {
     backend::{Backend, BackendSpec, BackendTable, Load},
     budget::{BudgetTerms, RetryBudget},
-    cached::{CacheScope, CachedParts, PartNote, PromptPart, chain_of, kept_store, rank, scoped},
+    cached::{CacheScope, CachedParts, HeldAs, PartNote, PromptPart, chain_of, rank, scoped},
     choice::{Choice, Fetch, ModelCall, NamedWeights, Surroundings, choose_model, choose_plain},
     rollout::{OrderState, Rollout, RolloutEngine, RolloutStep},
-    routing::{CallKind, CallerLimits, CustomerSpec, Route, RoutingTable, ServiceSpec, Split},
+    routing::{
+        CallKind, CallerLimits, CustomerSpec, KeptStore, Route, RoutingTable, ServiceSpec, Split,
+    },
 };
--- a/core/src/gateway/budget.rs
+++ b/core/src/gateway/budget.rs
@@ -63,13 +63,6 @@
         true
     }
 
-    /// The repeats that are left for a service, in thousandths.
-    #[must_use]
-    pub fn left_milli(&self, service: &str) -> Option<u64> {
-        let balance = self.balances.get(&service.to_owned())?;
-        Some(balance.milli_sends)
-    }
-
     fn most_milli(&self, entry_vms: usize) -> u64 {
         let vms = entry_vms.max(1) as u64;
         self.terms.allowance * MILLI * ALLOWANCE_SPENT_PERCENT / 100 / vms
--- a/core/src/gateway/cached.rs
+++ b/core/src/gateway/cached.rs
@@ -18,7 +18,7 @@
 /// How long a part is believed to stay cached after its last use. Engines evict the least
 /// recently used parts; at the deployments' usual load that takes longer than this.
 const BELIEVED_MS: DurationMs = DurationMs(8_000);
-/// How long a part is believed to stay in the store of kept KV cache: it is larger than an engine's
+/// How long a part is believed to stay in a store of kept KV cache: it is larger than an engine's
 /// memory and takes in only what it lacks.
 const KEPT_BELIEVED_MS: DurationMs = DurationMs(25_000);
 /// Holders that are remembered for one part. More are not needed to find one that is idle.
@@ -79,25 +79,29 @@
     xxh3_64(&bytes)
 }
 
-/// Stands for the store of kept KV cache among those that hold parts.
-#[must_use]
-pub fn kept_store() -> WorkerId {
-    WorkerId::of("store of kept KV cache")
+/// How somebody holds a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum HeldAs {
+    /// An engine is about to read it, or is reading it.
+    Reading,
+    /// An engine has read it.
+    Read,
+    /// A store of kept KV cache has it.
+    Kept,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Holder {
     worker: WorkerId,
     used_at_ms: TimeMs,
-    is_read: bool,
+    held_as: HeldAs,
 }
 
 impl Holder {
     fn is_believed(&self, now: TimeMs) -> bool {
-        let believed = if self.worker == kept_store() {
-            KEPT_BELIEVED_MS
-        } else {
-            BELIEVED_MS
+        let believed = match self.held_as {
+            HeldAs::Kept => KEPT_BELIEVED_MS,
+            HeldAs::Read | HeldAs::Reading => BELIEVED_MS,
         };
         now.since(self.used_at_ms) < believed
     }
@@ -110,8 +114,8 @@
     pub part: u64,
     /// Who holds it.
     pub worker: WorkerId,
-    /// Whether it has read it already.
-    pub is_read: bool,
+    /// How.
+    pub held_as: HeldAs,
 }
 
 /// The beliefs about all parts.
@@ -132,7 +136,7 @@
             .find(|holder| holder.worker == note.worker);
         if let Some(holder) = known {
             holder.used_at_ms = now;
-            holder.is_read |= note.is_read;
+            holder.held_as = holder.held_as.max(note.held_as);
             return;
         }
 
@@ -143,7 +147,7 @@
         holders.push(Holder {
             worker: note.worker,
             used_at_ms: now,
-            is_read: note.is_read,
+            held_as: note.held_as,
         });
     }
 
@@ -165,7 +169,7 @@
     pub fn sources(&self, part: u64, now: TimeMs) -> impl Iterator<Item = WorkerId> {
         let holders = self.parts.get(&part).into_iter().flatten();
         holders
-            .filter(move |holder| holder.is_read && holder.is_believed(now))
+            .filter(move |holder| holder.held_as > HeldAs::Reading && holder.is_believed(now))
             .map(|holder| holder.worker)
     }
 
--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
-        backend::{ALWAYS_FAILS, Backend, BackendTable, READ_TOKENS_PER_MS},
-        cached::{CacheScope, CachedParts, PromptPart, kept_store, rank, scoped},
-        routing::ServiceSpec,
+        backend::{ALWAYS_FAILS, Backend, BackendTable},
+        cached::{CachedParts, PromptPart, rank},
+        prediction::{Candidate, is_permitted, predict},
+        routing::{KeptStore, ServiceSpec},
     },
     crate::{
         id::{WeightsVersion, WorkerId},
@@ -19,64 +20,20 @@
 /// The cost of a backend server that always fails, in milliseconds: more than any queue that it
 /// would be worth to avoid it for.
 const FAILING_MS: u64 = 3_000;
-/// The cost of reading a thousand shared tokens again beside the time that it takes, in
-/// milliseconds: recomputed prompt work is paid for.
-const REREAD_MS_PER_THOUSAND: u64 = 100;
-/// How many times as long the store of kept KV cache takes for a transfer as an engine: its link
-/// is slower and serves all engines.
-const KEPT_STORE_SLOWER: u64 = 5;
-/// The time that it takes to set up a fetch of cached parts, in milliseconds.
-const FETCH_SETUP_MS: u64 = 4;
-/// Reading without a break that streams bear, in milliseconds: shorter than their longest pause.
-const STALL_FROM_MS: u64 = 90;
-/// How much longer makes streams late for sure, in milliseconds.
-const STALL_SPAN_MS: u64 = 140;
-/// The cost of making one stream late, in milliseconds: two thirds of its worth.
-const LATE_MS: u64 = 140;
-/// The cost of one more request in an engine's batch, in milliseconds: each slows all others.
-const BATCH_MS: u64 = 4;
 /// The cost of a request that must wait for a slot of a plain service, in milliseconds: about
 /// the work of one request.
 const SLOT_WAIT_MS: u64 = 30;
-/// The cost of each step away from a part's home, in milliseconds, as long as nobody holds it.
-const RANK_MS: u64 = 8;
-/// How long answers on the weights before the newest are still worth as much.
-const OLD_WEIGHTS_FREE_MS: DurationMs = DurationMs(1_300);
-/// The cost of older weights after that, in milliseconds: a fifth of the answer's worth is lost.
-const OLD_WEIGHTS_MS: u64 = 150;
-/// The time before older weights are no longer permitted in which none is used any more: what a
-/// request may take on the way and in the engine's queue.
-const OLD_WEIGHTS_MARGIN_MS: DurationMs = DurationMs(1_500);
-/// How much sooner than that a server is told to stop, so that a request which has waited too long
-/// in its queue doesn't begin: what the naming and the request take on the way.
-const OLD_WEIGHTS_STOP_MS: DurationMs = DurationMs(300);
-/// The cost of sending a long answer to an engine that is about to change its weights, and must
-/// bring it to its end before.
-const HELD_FROM_WRITING_MS: u64 = 1_500;
-/// The cost of sending a short answer there.
-const HELD_FROM_READING_MS: u64 = 150;
 /// Prompt tokens for one token of the answer below which a request mostly writes. Writing a token
 /// takes an engine about as long as reading this many.
 const READ_TOKENS_PER_WRITTEN: u64 = 48;
-/// The cost of each step away from the engines that write, in milliseconds.
-const PACK_MS: u64 = 20;
-/// Steps that count at the most: beyond these, one engine is as good as another.
-const MAX_STEPS: u64 = 4;
-/// The cost of reading a long prompt where others write, in milliseconds.
-const WRITER_MS: u64 = 90;
-/// The share of an engine's slots that requests which mostly write fill before the next engine is
-/// taken, in percent.
-const CROWDED_PERCENT: u64 = 45;
-/// The cost of each further request there, in milliseconds.
-const CROWD_MS: u64 = 12;
 
 /// Where an engine finds cached parts that it lacks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fetch {
     /// At another engine.
     Engine(WorkerId),
-    /// In the store of kept KV cache.
-    KeptStore,
+    /// In a store of kept KV cache.
+    KeptStore(WorkerId),
 }
 
 /// A backend server that takes a request.
@@ -86,8 +43,8 @@
     pub worker: WorkerId,
     /// Where it finds cached parts that it lacks.
     pub fetch: Option<Fetch>,
-    /// Whether the parts are saved in the store of kept KV cache.
-    pub saves: bool,
+    /// The store of kept KV cache in which the parts are saved.
+    pub saves: Option<WorkerId>,
     /// Whether the request mostly writes.
     pub mostly_writes: bool,
     /// Prompt tokens that it is predicted to read.
@@ -146,8 +103,8 @@
     pub max_answer: Tokens,
     /// [`super::chain_of`] the parts.
     pub chain: &'a [u64],
-    /// Whether there is a store of kept KV cache that answers.
-    pub has_kept_store: bool,
+    /// The stores of kept KV cache that answer.
+    pub kept_stores: &'a [&'a KeptStore],
     /// The weights that were named, oldest first.
     pub named: &'a [NamedWeights],
 }
@@ -168,7 +125,7 @@
     Some(Choice {
         worker: best.0,
         fetch: None,
-        saves: false,
+        saves: None,
         mostly_writes: false,
         unread: Tokens(0),
         weights: None,
@@ -219,183 +176,6 @@
         .map(|(_, choice)| choice)
 }
 
-/// How long ago weights were outdated by the first newer ones; none when there are no newer ones.
-fn outdated_for(
-    weights: WeightsVersion,
-    named: &[NamedWeights],
-    now: TimeMs,
-) -> Option<(DurationMs, DurationMs)> {
-    let newer = named.iter().find(|named| named.version > weights)?;
-    Some((now.since(newer.heard_at_ms), newer.permitted_ms))
-}
-
-fn is_permitted(weights: WeightsVersion, named: &[NamedWeights], now: TimeMs) -> bool {
-    outdated_for(weights, named, now)
-        .is_none_or(|(age, permitted)| age < permitted.saturating_sub(OLD_WEIGHTS_MARGIN_MS))
-}
-
-fn predict(
-    around: &Surroundings<'_>,
-    service: &ServiceSpec,
-    call: &ModelCall<'_>,
-    engine: &Candidate<'_>,
-    steps_from_home: u64,
-) -> (u64, Choice) {
-    let Candidate {
-        worker,
-        backend,
-        weights,
-        is_writer,
-    } = *engine;
-    let scope = CacheScope::of(call.model, weights, call.wall);
-    let shared = call.parts.len().saturating_sub(1);
-    let keys: Vec<u64> = call.chain[..shared]
-        .iter()
-        .map(|link| scoped(scope, *link))
-        .collect();
-    let held = around.cached.depth(&keys, worker, around.now);
-    let source = best_source(around, &keys, worker, held, call.has_kept_store);
-    let fetched = source.map_or(held, |(_, depth)| depth.max(held));
-    let tokens = |range: &[PromptPart]| range.iter().map(|part| part.tokens.0).sum::<u64>();
-    let fetched_tokens = tokens(&call.parts[held..fetched]);
-    let reread = tokens(&call.parts[fetched..shared]);
-    let own = tokens(&call.parts[shared..]);
-    let fetch_ms = match source {
-        Some((Fetch::Engine(_), _)) if fetched > held => {
-            FETCH_SETUP_MS + transfer_ms(service, fetched_tokens)
-        }
-        Some((Fetch::KeptStore, _)) if fetched > held => {
-            FETCH_SETUP_MS + transfer_ms(service, fetched_tokens) * KEPT_STORE_SLOWER
-        }
-        _ => 0,
-    };
-    let read_ms = (own + reread + backend.queued(around.now).0) / READ_TOKENS_PER_MS;
-    let first_token_ms = read_ms + fetch_ms;
-    let streams = backend.occupancy(around.now);
-    let (home_ms, crowd_ms, held_ms) = if call.mostly_writes() {
-        let crowd = streams.saturating_sub(engine.free_slots());
-        // With equal views all entry VMs would take the first writer, so each request has an
-        // order of its own.
-        let home_ms = if is_writer {
-            rank(call.draw, worker) % PACK_MS
-        } else {
-            PACK_MS + steps_from_home.min(MAX_STEPS) * RANK_MS
-        };
-        (home_ms, crowd * CROWD_MS, HELD_FROM_WRITING_MS)
-    } else {
-        let home_ms = if held == shared {
-            0
-        } else {
-            steps_from_home.min(MAX_STEPS) * RANK_MS
-        };
-        let crowd_ms = streams * BATCH_MS + if is_writer { WRITER_MS } else { 0 };
-        (home_ms, crowd_ms, HELD_FROM_READING_MS)
-    };
-    let held_ms = if around.now < backend.held_until_ms {
-        held_ms
-    } else {
-        0
-    };
-    let queued_ms = backend.queued(around.now).0 / READ_TOKENS_PER_MS;
-    let later_ms = queued_ms + (own + reread) / READ_TOKENS_PER_MS;
-    // What the reading does to streams that are there already, and to this one.
-    let others_late_ms = streams * (stall_ms(later_ms) - stall_ms(queued_ms));
-    let cost = first_token_ms
-        + others_late_ms
-        + stall_ms(later_ms)
-        + reread * REREAD_MS_PER_THOUSAND / 1_000
-        + home_ms
-        + crowd_ms
-        + held_ms
-        + old_weights_ms(weights, call.named, around.now)
-        + around.standing_cost(backend);
-    let choice = Choice {
-        worker,
-        fetch: source.map(|(source, _)| source),
-        mostly_writes: call.mostly_writes(),
-        saves: call.has_kept_store
-            && shared > 0
-            && around.cached.read_depth(&keys, kept_store(), around.now) < shared,
-        unread: Tokens(own + reread),
-        weights: Some(weights),
-        first_token_ms: DurationMs(first_token_ms),
-        limit_ms: outdated_for(weights, call.named, around.now).map(|(age, permitted)| {
-            permitted
-                .saturating_sub(OLD_WEIGHTS_STOP_MS)
-                .saturating_sub(age)
-        }),
-    };
-    (cost, choice)
-}
-
-/// An engine that may take a request.
-#[derive(Clone, Copy, Debug)]
-struct Candidate<'a> {
-    worker: WorkerId,
-    backend: &'a Backend,
-    weights: WeightsVersion,
-    /// Whether it is one of those that requests which mostly write share.
-    is_writer: bool,
-}
-
-impl Candidate<'_> {
-    /// The requests that mostly write which it takes before the next one is used.
-    fn free_slots(&self) -> u64 {
-        (self.backend.spec.slots * CROWDED_PERCENT / 100).max(1)
-    }
-}
-
-/// Where an engine fetches parts that it lacks: from the engine that holds the most of them, or
-/// from the store of kept KV cache. The store is named also when the engine is believed to lack
-/// nothing: it may have evicted parts, and naming a source costs next to nothing.
-fn best_source(
-    around: &Surroundings<'_>,
-    keys: &[u64],
-    lacking: WorkerId,
-    held: usize,
-    has_kept_store: bool,
-) -> Option<(Fetch, usize)> {
-    let first = *keys.first()?;
-    let engine = around
-        .cached
-        .sources(first, around.now)
-        .filter(|holder| *holder != lacking)
-        .filter(|holder| around.is_reachable(*holder))
-        .map(|holder| (holder, around.cached.read_depth(keys, holder, around.now)))
-        .max_by_key(|(holder, depth)| (*depth, rank(first, *holder)));
-    let kept = if has_kept_store {
-        around.cached.read_depth(keys, kept_store(), around.now)
-    } else {
-        0
-    };
-    match engine {
-        Some((holder, depth)) if depth > held && depth >= kept => {
-            Some((Fetch::Engine(holder), depth))
-        }
-        _ if kept > 0 => Some((Fetch::KeptStore, kept)),
-        _ => None,
-    }
-}
-
-/// The cost to one stream of a time in which its engine reads prompts without a break: the pauses
-/// between its events grow with each piece of a prompt that is read between two tokens.
-fn stall_ms(reading_ms: u64) -> u64 {
-    let over_ms = reading_ms.saturating_sub(STALL_FROM_MS).min(STALL_SPAN_MS);
-    LATE_MS * over_ms / STALL_SPAN_MS
-}
-
-fn transfer_ms(service: &ServiceSpec, tokens: u64) -> u64 {
-    let bits = tokens * service.kv_bytes_per_token * 8;
-    bits / (service.link_mbps.max(1) * 1_000)
-}
-
-fn old_weights_ms(weights: WeightsVersion, named: &[NamedWeights], now: TimeMs) -> u64 {
-    match outdated_for(weights, named, now) {
-        Some((age, _)) if age >= OLD_WEIGHTS_FREE_MS => OLD_WEIGHTS_MS,
-        _ => 0,
-    }
-}
-
 impl ModelCall<'_> {
     /// Whether an engine spends more on writing its answer than on reading its prompt.
     #[must_use]
@@ -406,7 +186,7 @@
 }
 
 impl<'a> Surroundings<'a> {
-    fn is_reachable(&self, worker: WorkerId) -> bool {
+    pub(super) fn is_reachable(&self, worker: WorkerId) -> bool {
         let backend = self.backends.get(worker);
         backend.is_some_and(|backend| backend.is_reachable(self.now))
     }
@@ -429,7 +209,7 @@
             .filter(move |row| !any_reachable || row.1.takes_requests(now))
     }
 
-    fn standing_cost(&self, backend: &Backend) -> u64 {
+    pub(super) fn standing_cost(&self, backend: &Backend) -> u64 {
         let distance = if backend.spec.domain == self.domain {
             0
         } else {
--- /dev/null
+++ b/core/src/gateway/prediction.rs
@@ -0,0 +1,290 @@
+//! What a request would cost at an engine, in milliseconds of its callers' time.
+
+use {
+    super::{
+        backend::{Backend, READ_TOKENS_PER_MS},
+        cached::{CacheScope, PromptPart, rank, scoped},
+        choice::{Choice, Fetch, ModelCall, NamedWeights, Surroundings},
+        routing::{KeptStore, ServiceSpec},
+    },
+    crate::{
+        id::{WeightsVersion, WorkerId},
+        unit::{DurationMs, TimeMs, Tokens},
+    },
+};
+
+/// The cost of reading a thousand shared tokens again beside the time that it takes, in
+/// milliseconds: recomputed prompt work is paid for.
+const REREAD_MS_PER_THOUSAND: u64 = 100;
+/// How many times as long the store of kept KV cache takes for a transfer as an engine: its link
+/// is slower and serves all engines.
+const KEPT_STORE_SLOWER: u64 = 5;
+/// How many times as long a transfer of KV cache between failure domains takes.
+const OTHER_DOMAIN_SLOWER: u64 = 2;
+/// The time that it takes to set up a fetch of cached parts, in milliseconds.
+const FETCH_SETUP_MS: u64 = 4;
+/// Reading without a break that streams bear, in milliseconds: shorter than their longest pause.
+const STALL_FROM_MS: u64 = 90;
+/// How much longer makes streams late for sure, in milliseconds.
+const STALL_SPAN_MS: u64 = 140;
+/// The cost of making one stream late, in milliseconds: two thirds of its worth.
+const LATE_MS: u64 = 140;
+/// The cost of one more request in an engine's batch, in milliseconds: each slows all others.
+const BATCH_MS: u64 = 4;
+/// The cost of each step away from a part's home, in milliseconds, as long as nobody holds it.
+const RANK_MS: u64 = 8;
+/// How long answers on the weights before the newest are still worth as much.
+const OLD_WEIGHTS_FREE_MS: DurationMs = DurationMs(1_300);
+/// The cost of older weights after that, in milliseconds: a fifth of the answer's worth is lost.
+const OLD_WEIGHTS_MS: u64 = 150;
+/// The time before older weights are no longer permitted in which none is used any more: what a
+/// request may take on the way and in the engine's queue.
+const OLD_WEIGHTS_MARGIN_MS: DurationMs = DurationMs(1_500);
+/// How much sooner than that a server is told to stop, so that a request which has waited too long
+/// in its queue doesn't begin: what the naming and the request take on the way.
+const OLD_WEIGHTS_STOP_MS: DurationMs = DurationMs(300);
+/// The cost of sending a long answer to an engine that is about to change its weights, and must
+/// bring it to its end before.
+const HELD_FROM_WRITING_MS: u64 = 1_500;
+/// The cost of sending a short answer there.
+const HELD_FROM_READING_MS: u64 = 150;
+/// The cost of each step away from the engines that write, in milliseconds.
+const PACK_MS: u64 = 20;
+/// Steps that count at the most: beyond these, one engine is as good as another.
+const MAX_STEPS: u64 = 4;
+/// The cost of reading a long prompt where others write, in milliseconds.
+const WRITER_MS: u64 = 90;
+/// The share of an engine's slots that requests which mostly write fill before the next engine is
+/// taken, in percent.
+const CROWDED_PERCENT: u64 = 45;
+/// The cost of each further request there, in milliseconds.
+const CROWD_MS: u64 = 12;
+
+/// How long ago weights were outdated by the first newer ones; none when there are no newer ones.
+fn outdated_for(
+    weights: WeightsVersion,
+    named: &[NamedWeights],
+    now: TimeMs,
+) -> Option<(DurationMs, DurationMs)> {
+    let newer = named.iter().find(|named| named.version > weights)?;
+    Some((now.since(newer.heard_at_ms), newer.permitted_ms))
+}
+
+/// Whether a request may still begin on these weights.
+pub(super) fn is_permitted(weights: WeightsVersion, named: &[NamedWeights], now: TimeMs) -> bool {
+    outdated_for(weights, named, now)
+        .is_none_or(|(age, permitted)| age < permitted.saturating_sub(OLD_WEIGHTS_MARGIN_MS))
+}
+
+/// An engine that may take a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate<'a> {
+    /// The engine.
+    pub(super) worker: WorkerId,
+    /// What is believed of it.
+    pub(super) backend: &'a Backend,
+    /// Its weights of the model.
+    pub(super) weights: WeightsVersion,
+    /// Whether it is one of those that requests which mostly write share.
+    pub(super) is_writer: bool,
+}
+
+impl Candidate<'_> {
+    /// The requests that mostly write which it takes before the next one is used.
+    pub(super) fn free_slots(&self) -> u64 {
+        (self.backend.spec.slots * CROWDED_PERCENT / 100).max(1)
+    }
+}
+
+/// What a request would cost at an engine, and how it would be sent there.
+pub(super) fn predict(
+    around: &Surroundings<'_>,
+    service: &ServiceSpec,
+    call: &ModelCall<'_>,
+    engine: &Candidate<'_>,
+    steps_from_home: u64,
+) -> (u64, Choice) {
+    let Candidate {
+        worker,
+        backend,
+        weights,
+        is_writer,
+    } = *engine;
+    let scope = CacheScope::of(call.model, weights, call.wall);
+    let shared = call.parts.len().saturating_sub(1);
+    let keys: Vec<u64> = call.chain[..shared]
+        .iter()
+        .map(|link| scoped(scope, *link))
+        .collect();
+    let held = around.cached.depth(&keys, worker, around.now);
+    let source = best_source(around, &keys, engine, held, call.kept_stores);
+    let fetched = source.map_or(held, |(_, depth)| depth.max(held));
+    let tokens = |range: &[PromptPart]| range.iter().map(|part| part.tokens.0).sum::<u64>();
+    let fetched_tokens = tokens(&call.parts[held..fetched]);
+    let reread = tokens(&call.parts[fetched..shared]);
+    let own = tokens(&call.parts[shared..]);
+    let fetch_ms = match source {
+        Some((source, _)) if fetched > held => {
+            fetch_ms(around, service, call, engine, source, fetched_tokens)
+        }
+        _ => 0,
+    };
+    let read_ms = (own + reread + backend.queued(around.now).0) / READ_TOKENS_PER_MS;
+    let first_token_ms = read_ms + fetch_ms;
+    let streams = backend.occupancy(around.now);
+    let (home_ms, crowd_ms, held_ms) = if call.mostly_writes() {
+        let crowd = streams.saturating_sub(engine.free_slots());
+        // With equal views all entry VMs would take the first writer, so each request has an
+        // order of its own.
+        let home_ms = if is_writer {
+            rank(call.draw, worker) % PACK_MS
+        } else {
+            PACK_MS + steps_from_home.min(MAX_STEPS) * RANK_MS
+        };
+        (home_ms, crowd * CROWD_MS, HELD_FROM_WRITING_MS)
+    } else {
+        let home_ms = if held == shared {
+            0
+        } else {
+            steps_from_home.min(MAX_STEPS) * RANK_MS
+        };
+        let crowd_ms = streams * BATCH_MS + if is_writer { WRITER_MS } else { 0 };
+        (home_ms, crowd_ms, HELD_FROM_READING_MS)
+    };
+    let held_ms = if around.now < backend.held_until_ms {
+        held_ms
+    } else {
+        0
+    };
+    let queued_ms = backend.queued(around.now).0 / READ_TOKENS_PER_MS;
+    let later_ms = queued_ms + (own + reread) / READ_TOKENS_PER_MS;
+    // What the reading does to streams that are there already, and to this one.
+    let others_late_ms = streams * (stall_ms(later_ms) - stall_ms(queued_ms));
+    let cost = first_token_ms
+        + others_late_ms
+        + stall_ms(later_ms)
+        + reread * REREAD_MS_PER_THOUSAND / 1_000
+        + home_ms
+        + crowd_ms
+        + held_ms
+        + old_weights_ms(weights, call.named, around.now)
+        + around.standing_cost(backend);
+    let choice = Choice {
+        worker,
+        fetch: source.map(|(source, _)| source),
+        mostly_writes: call.mostly_writes(),
+        saves: saved_to(around, &keys, engine, call.kept_stores),
+        unread: Tokens(own + reread),
+        weights: Some(weights),
+        first_token_ms: DurationMs(first_token_ms),
+        limit_ms: outdated_for(weights, call.named, around.now).map(|(age, permitted)| {
+            permitted
+                .saturating_sub(OLD_WEIGHTS_STOP_MS)
+                .saturating_sub(age)
+        }),
+    };
+    (cost, choice)
+}
+
+/// Where an engine fetches parts that it lacks: from the engine that holds the most of them, or
+/// from a store of kept KV cache. A store is named also when the engine is believed to lack
+/// nothing: it may have evicted parts, and naming a source costs next to nothing.
+fn best_source(
+    around: &Surroundings<'_>,
+    keys: &[u64],
+    lacking: &Candidate<'_>,
+    held: usize,
+    stores: &[&KeptStore],
+) -> Option<(Fetch, usize)> {
+    let first = *keys.first()?;
+    let engine = around
+        .cached
+        .sources(first, around.now)
+        .filter(|holder| *holder != lacking.worker)
+        .filter(|holder| around.is_reachable(*holder))
+        .map(|holder| (holder, around.cached.read_depth(keys, holder, around.now)))
+        .max_by_key(|(holder, depth)| (*depth, rank(first, *holder)));
+    let kept = stores
+        .iter()
+        .map(|store| {
+            let depth = around.cached.read_depth(keys, store.id, around.now);
+            (depth, store.domain == lacking.backend.spec.domain, store.id)
+        })
+        .max()
+        .filter(|(depth, ..)| *depth > 0);
+    let kept_depth = kept.map_or(0, |(depth, ..)| depth);
+    match engine {
+        Some((holder, depth)) if depth > held && depth >= kept_depth => {
+            Some((Fetch::Engine(holder), depth))
+        }
+        _ => kept.map(|(depth, _, store)| (Fetch::KeptStore(store), depth)),
+    }
+}
+
+/// The store of kept KV cache that is to save the shared parts: none if one has them all, or else
+/// one in the engine's failure domain.
+fn saved_to(
+    around: &Surroundings<'_>,
+    keys: &[u64],
+    engine: &Candidate<'_>,
+    stores: &[&KeptStore],
+) -> Option<WorkerId> {
+    let last = *keys.last()?;
+    let has_all =
+        |store: &&&KeptStore| around.cached.read_depth(keys, store.id, around.now) == keys.len();
+    if stores.iter().any(|store| has_all(&store)) {
+        return None;
+    }
+    let near = |store: &KeptStore| store.domain == engine.backend.spec.domain;
+    let best = stores
+        .iter()
+        .max_by_key(|store| (near(store), rank(last, store.id)));
+    best.map(|store| store.id)
+}
+
+/// What it takes to fetch cached parts.
+fn fetch_ms(
+    around: &Surroundings<'_>,
+    service: &ServiceSpec,
+    call: &ModelCall<'_>,
+    engine: &Candidate<'_>,
+    source: Fetch,
+    tokens: u64,
+) -> u64 {
+    let own_domain = &engine.backend.spec.domain;
+    let (domain, slower) = match source {
+        Fetch::Engine(holder) => {
+            let holder = around.backends.get(holder);
+            (holder.map(|holder| &holder.spec.domain), 1)
+        }
+        Fetch::KeptStore(id) => {
+            let store = call.kept_stores.iter().find(|store| store.id == id);
+            (store.map(|store| &store.domain), KEPT_STORE_SLOWER)
+        }
+    };
+    let distance = if domain == Some(own_domain) {
+        1
+    } else {
+        OTHER_DOMAIN_SLOWER
+    };
+    FETCH_SETUP_MS + transfer_ms(service, tokens) * slower * distance
+}
+
+/// The cost to one stream of a time in which its engine reads prompts without a break: the pauses
+/// between its events grow with each piece of a prompt that is read between two tokens.
+fn stall_ms(reading_ms: u64) -> u64 {
+    let over_ms = reading_ms.saturating_sub(STALL_FROM_MS).min(STALL_SPAN_MS);
+    LATE_MS * over_ms / STALL_SPAN_MS
+}
+
+fn transfer_ms(service: &ServiceSpec, tokens: u64) -> u64 {
+    let bits = tokens * service.kv_bytes_per_token * 8;
+    bits / (service.link_mbps.max(1) * 1_000)
+}
+
+fn old_weights_ms(weights: WeightsVersion, named: &[NamedWeights], now: TimeMs) -> u64 {
+    match outdated_for(weights, named, now) {
+        Some((age, _)) if age >= OLD_WEIGHTS_FREE_MS => OLD_WEIGHTS_MS,
+        _ => 0,
+    }
+}
--- a/core/src/gateway/routing.rs
+++ b/core/src/gateway/routing.rs
@@ -1,7 +1,7 @@
 //! Which service a request goes to, and under which limits.
 
 use {
-    crate::unit::DurationMs,
+    crate::{id::WorkerId, unit::DurationMs},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -93,14 +93,35 @@
     pub name: String,
     /// The connections that one backend server accepts from all entry VMs together.
     pub max_connections: usize,
-    /// The models that its engines run. Empty for a plain service.
-    pub models: Vec<String>,
     /// The bytes of KV cache per token.
     pub kv_bytes_per_token: u64,
     /// The rate at which an engine moves KV cache, in megabits per second.
     pub link_mbps: u64,
-    /// The address of a store of kept KV cache. Such a service serves no route.
-    pub kept_store: Option<SocketAddr>,
+    /// The store of kept KV cache that it is, if it is one. Such a service serves no route.
+    pub kept_store: Option<KeptStore>,
+}
+
+/// A store of kept KV cache.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptStore {
+    /// Stands for it among those that hold parts of prompts.
+    pub id: WorkerId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+}
+
+impl KeptStore {
+    /// A store at an address.
+    #[must_use]
+    pub fn new(address: SocketAddr, domain: String) -> Self {
+        Self {
+            id: WorkerId::of(&address.to_string()),
+            address,
+            domain,
+        }
+    }
 }
 
 /// A customer and the keys that name it.
@@ -192,16 +213,10 @@
         found.ok().map(|at| &self.services[at])
     }
 
-    /// All services, by name.
-    #[must_use]
-    pub fn services(&self) -> &[ServiceSpec] {
-        &self.services
-    }
-
-    /// The store of kept KV cache, if there is one.
-    #[must_use]
-    pub fn kept_store(&self) -> Option<SocketAddr> {
-        self.services.iter().find_map(|service| service.kept_store)
+    /// The stores of kept KV cache.
+    pub fn kept_stores(&self) -> impl Iterator<Item = &KeptStore> {
+        let services = self.services.iter();
+        services.filter_map(|service| service.kept_store.as_ref())
     }
 
     /// Whether callers need a key on routes that aren't public.
--- a/core/tests/gateway/cached.rs
+++ b/core/tests/gateway/cached.rs
@@ -4,7 +4,7 @@
     crate::fixture::{DOMAIN, NOW, World, long_prompt, shared_keys, spec, worker},
     cactusspur_core::{
         DurationMs, TimeMs, WeightsVersion,
-        gateway::{CacheScope, CachedParts, Fetch, PartNote},
+        gateway::{CacheScope, CachedParts, Fetch, HeldAs, PartNote},
     },
     test_case::test_case,
 };
@@ -40,7 +40,7 @@
     let note = PartNote {
         part: keys[1],
         worker: worker(0),
-        is_read: true,
+        held_as: HeldAs::Read,
     };
     cached.note(note, NOW);
     assert_eq!(cached.depth(&keys, worker(0), NOW), 0);
@@ -62,7 +62,7 @@
         let note = PartNote {
             part: *part,
             worker: worker(0),
-            is_read: false,
+            held_as: HeldAs::Reading,
         };
         cached.note(note, NOW);
     }
@@ -93,7 +93,7 @@
         let note = PartNote {
             part,
             worker: worker(0),
-            is_read: true,
+            held_as: HeldAs::Read,
         };
         cached.note(note, TimeMs(part));
     }
--- a/core/tests/gateway/fixture.rs
+++ b/core/tests/gateway/fixture.rs
@@ -4,9 +4,9 @@
     cactusspur_core::{
         DurationMs, TimeMs, Tokens, WeightsVersion, WorkerId,
         gateway::{
-            BackendSpec, BackendTable, CacheScope, CachedParts, Choice, Load, ModelCall,
-            NamedWeights, PartNote, PromptPart, ServiceSpec, Surroundings, chain_of, choose_model,
-            choose_plain, scoped,
+            BackendSpec, BackendTable, CacheScope, CachedParts, Choice, HeldAs, KeptStore, Load,
+            ModelCall, NamedWeights, PartNote, PromptPart, ServiceSpec, Surroundings, chain_of,
+            choose_model, choose_plain, scoped,
         },
     },
     std::net::SocketAddr,
@@ -47,11 +47,15 @@
     }
 }
 
+/// A store of kept KV cache in a failure domain.
+pub fn kept_store(number: usize, domain: &str) -> KeptStore {
+    KeptStore::new(address(500 + number), domain.to_owned())
+}
+
 pub fn service() -> ServiceSpec {
     ServiceSpec {
         name: ENGINES.to_owned(),
         max_connections: 360,
-        models: vec![MODEL.to_owned()],
         kv_bytes_per_token: 163_840,
         link_mbps: 740_000,
         kept_store: None,
@@ -102,7 +106,7 @@
     pub backends: BackendTable,
     pub cached: CachedParts,
     pub named: Vec<NamedWeights>,
-    pub has_kept_store: bool,
+    pub kept_stores: Vec<KeptStore>,
     pub writing: u64,
     pub draw: u64,
 }
@@ -153,6 +157,7 @@
         now: TimeMs,
     ) -> Option<Choice> {
         let chain = chain_of(&prompt.parts);
+        let stores: Vec<&KeptStore> = self.kept_stores.iter().collect();
         let call = ModelCall {
             model: MODEL,
             wall,
@@ -161,7 +166,7 @@
             draw: self.draw,
             max_answer: prompt.max_answer,
             chain: &chain,
-            has_kept_store: self.has_kept_store,
+            kept_stores: &stores,
             named: &self.named,
         };
         choose_model(&self.around(tried, now), &service(), &call)
@@ -194,7 +199,19 @@
             let note = PartNote {
                 part,
                 worker,
-                is_read: true,
+                held_as: HeldAs::Read,
+            };
+            self.cached.note(note, now);
+        }
+    }
+
+    /// Notes that a store of kept KV cache has the shared parts of a prompt.
+    pub fn note_kept(&mut self, prompt: &Prompt, store: &KeptStore, now: TimeMs) {
+        for part in shared_keys(prompt, 1, None) {
+            let note = PartNote {
+                part,
+                worker: store.id,
+                held_as: HeldAs::Kept,
             };
             self.cached.note(note, now);
         }
--- a/core/tests/gateway/load.rs
+++ b/core/tests/gateway/load.rs
@@ -1,10 +1,12 @@
 //! Loads that were seen to hurt, each by the name of its pattern.
 
 use {
-    crate::fixture::{NOW, World, long_prompt, short_prompt, worker},
+    crate::fixture::{
+        DOMAIN, ENGINES, NOW, World, kept_store, long_prompt, short_prompt, spec, worker,
+    },
     cactusspur_core::{
         DurationMs, Tokens, WorkerId,
-        gateway::{Fetch, kept_store, rank},
+        gateway::{Fetch, rank},
     },
     std::collections::BTreeMap,
     test_case::test_case,
@@ -126,21 +128,86 @@
     assert_eq!(choice.unread, Tokens(2_890), "only its own part is read");
 }
 
-/// Pattern: eviction. The store of kept cache is named as a source also where nothing seems to be
+/// Pattern: eviction. A store of kept cache is named as a source also where nothing seems to be
 /// lacking, and parts that it lacks are saved there.
 #[test]
 fn the_kept_store_backs_engines_that_evict() {
     let mut world = World::with_engines(4);
-    world.has_kept_store = true;
+    let store = kept_store(0, DOMAIN);
+    world.kept_stores.push(store.clone());
     let prompt = long_prompt(1, 1);
     let first = world.choose(&prompt, NOW).expect("an engine");
-    assert!(first.saves);
+    assert_eq!(first.saves, Some(store.id));
     world.note_read(&prompt, first.worker, None, NOW);
-    world.note_read(&prompt, kept_store(), None, NOW);
+    world.note_kept(&prompt, &store, NOW);
     let again = world.choose(&long_prompt(1, 2), NOW).expect("an engine");
-    assert!(!again.saves);
+    assert_eq!(again.saves, None);
     assert_eq!(again.worker, first.worker);
-    assert_eq!(again.fetch, Some(Fetch::KeptStore));
+    assert_eq!(again.fetch, Some(Fetch::KeptStore(store.id)));
+}
+
+/// Engines in two failure domains, a store of kept KV cache in each.
+fn two_domains() -> World {
+    let mut world = World::default();
+    for (number, domain) in [(0, DOMAIN), (1, "domain-1")] {
+        let mut spec = spec(number, ENGINES, 64);
+        spec.domain = domain.to_owned();
+        world.backends.upsert(spec);
+        world.kept_stores.push(kept_store(number, domain));
+    }
+    world
+}
+
+/// Pattern: more parts than one store of kept cache holds. Each engine saves to the store of its
+/// own failure domain, so that homes spread over all stores, and each part is saved once.
+#[test]
+fn parts_spread_over_the_stores_of_all_domains() {
+    let mut world = two_domains();
+    for number in 0..2 {
+        let only = worker(number);
+        let others = [worker(1 - number)];
+        let prompt = long_prompt(1, 1);
+        let choice = world.choose_for(&prompt, None, &others, NOW);
+        let choice = choice.expect("an engine");
+        assert_eq!(choice.worker, only);
+        assert_eq!(choice.saves, Some(world.kept_stores[number].id));
+    }
+    let store = world.kept_stores[1].clone();
+    world.note_kept(&long_prompt(1, 1), &store, NOW);
+    let choice = world.choose_for(&long_prompt(1, 2), None, &[worker(1)], NOW);
+    let choice = choice.expect("an engine");
+    assert_eq!(choice.saves, None, "a store has it already");
+    assert_eq!(choice.fetch, Some(Fetch::KeptStore(store.id)));
+}
+
+/// Pattern: transfers between failure domains, which take longer. Of two stores that have all
+/// parts, the near one is the source.
+#[test]
+fn the_near_store_is_the_source() {
+    let mut world = two_domains();
+    let prompt = long_prompt(1, 1);
+    for store in world.kept_stores.clone() {
+        world.note_kept(&prompt, &store, NOW);
+    }
+    for number in 0..2 {
+        let choice = world.choose_for(&prompt, None, &[worker(1 - number)], NOW);
+        let fetch = choice.expect("an engine").fetch;
+        assert_eq!(fetch, Some(Fetch::KeptStore(world.kept_stores[number].id)));
+    }
+}
+
+/// Pattern: a store of kept cache that fell silent. It is neither a source nor written to.
+#[test]
+fn a_silent_store_is_not_named() {
+    let mut world = two_domains();
+    let prompt = long_prompt(1, 1);
+    let silent = world.kept_stores.remove(0);
+    world.note_kept(&prompt, &silent, NOW);
+    let choice = world.choose_for(&prompt, None, &[worker(1)], NOW);
+    let choice = choice.expect("an engine");
+    assert_eq!(choice.worker, worker(0));
+    assert_eq!(choice.fetch, None);
+    assert_eq!(choice.saves, Some(world.kept_stores[0].id));
 }
 
 /// Pattern: weights that change under load. Old weights are used while they are permitted, and
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -10,8 +10,9 @@
     cactusspur_core::{
         DurationMs, TimeMs, Tokens, Verdict, WorkerId,
         gateway::{
-            CacheScope, CallKind, Choice, CustomerSpec, Fetch, ModelCall, PartNote, Route,
-            RoutingTable, Surroundings, chain_of, choose_model, choose_plain, kept_store, scoped,
+            CacheScope, CallKind, Choice, CustomerSpec, Fetch, HeldAs, KeptStore, ModelCall,
+            PartNote, Route, RoutingTable, Surroundings, chain_of, choose_model, choose_plain,
+            scoped,
         },
     },
     http::{HeaderMap, Method, Request, Uri},
@@ -171,6 +172,10 @@
         match (&self.head.prompt, service) {
             (Some(prompt), Some(service)) if !prompt.parts.is_empty() => {
                 let named = state.weights.get(&prompt.model);
+                let stores = self.routing.kept_stores();
+                let stores: Vec<&KeptStore> = stores
+                    .filter(|store| state.kept.answers(store.address))
+                    .collect();
                 let call = ModelCall {
                     writing: state.writing + state.peers.writing(now()),
                     draw: self.draw,
@@ -179,7 +184,7 @@
                     parts: &prompt.parts,
                     max_answer: prompt.max_answer,
                     chain: &self.chain,
-                    has_kept_store: self.routing.kept_store().is_some() && state.kept_store_answers,
+                    kept_stores: &stores,
                     named: named.map_or(&[], Vec::as_slice),
                 };
                 choose_model(&around, service, &call)
@@ -202,15 +207,16 @@
         let model = self.head.prompt.as_ref().and_then(|prompt| {
             let weights = choice.weights?;
             let engine = |worker| state.backends.get(worker).map(|b| b.spec.address);
+            let store = |id| self.kept_store(id).map(|store| store.address);
             Some(ModelHead {
                 cache_scope: CacheScope::of(&prompt.model, weights, self.wall()).to_string(),
                 weights,
                 priority: self.priority(),
                 fetch_from: choice.fetch.and_then(|fetch| match fetch {
                     Fetch::Engine(worker) => engine(worker),
-                    Fetch::KeptStore => self.routing.kept_store(),
+                    Fetch::KeptStore(id) => store(id),
                 }),
-                save_to: choice.saves.then(|| self.routing.kept_store()).flatten(),
+                save_to: choice.saves.and_then(store),
             })
         });
         let left_ms = self.deadline_ms.since(now());
@@ -238,18 +244,30 @@
         };
         let scope = CacheScope::of(&prompt.model, weights, self.wall());
         let shared_parts = self.chain.len().saturating_sub(1);
+        let held_as = if is_read {
+            HeldAs::Read
+        } else {
+            HeldAs::Reading
+        };
         // What is saved or fetched there has been used there.
-        let uses_kept = is_read && (choice.saves || choice.fetch == Some(Fetch::KeptStore));
-        let workers = [Some(choice.worker), uses_kept.then(kept_store)];
+        let fetched_from = match choice.fetch {
+            Some(Fetch::KeptStore(store)) => Some(store),
+            _ => None,
+        };
+        let kept = choice.saves.or(fetched_from).filter(|_| is_read);
+        let holders = [
+            Some((choice.worker, held_as)),
+            kept.map(|store| (store, HeldAs::Kept)),
+        ];
         let notes: Vec<PartNote> = self.chain[..shared_parts]
             .iter()
             .flat_map(|link| {
                 let part = scoped(scope, *link);
-                let workers = workers.into_iter().flatten();
-                workers.map(move |worker| PartNote {
+                let holders = holders.into_iter().flatten();
+                holders.map(move |(worker, held_as)| PartNote {
                     part,
                     worker,
-                    is_read,
+                    held_as,
                 })
             })
             .collect();
@@ -257,6 +275,10 @@
         shared.peers.note_parts(shared, &notes);
     }
 
+    fn kept_store(&self, id: WorkerId) -> Option<&KeptStore> {
+        self.routing.kept_stores().find(|store| store.id == id)
+    }
+
     fn wall(&self) -> Option<&str> {
         let customer = self.customer.as_ref()?;
         customer.isolated.then_some(customer.name.as_str())
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -93,8 +93,6 @@
     pub instance: Option<String>,
     /// Its load.
     pub load: Option<Load>,
-    /// The weights that it runs on.
-    pub weights: Option<WeightsVersion>,
     /// Whether the answer carries the server's signature.
     pub is_signed: bool,
 }
@@ -191,7 +189,7 @@
     /// Reads an engine's state.
     fn read_state(&self, model: &str, body: &[u8]) -> Option<OrderState>;
 
-    /// A question to the store of kept KV cache for what changes there after `since`, held until
+    /// A question to a store of kept KV cache for what changes there after `since`, held until
     /// something does or `wait_ms` have passed.
     fn ask_kept(&self, since: u64, wait_ms: DurationMs) -> Request<Full<Bytes>>;
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -210,8 +210,10 @@
     tried: &[WorkerId],
     earlier_sends: usize,
 ) -> Tried {
-    let others = call.choose(shared, &[tried, &[choice.worker]].concat());
-    let limit = limit_of(call, others.is_some(), earlier_sends);
+    let limit = limit_of(call, earlier_sends, || {
+        let others = call.choose(shared, &[tried, &[choice.worker]].concat());
+        others.is_some()
+    });
     let exchange = async {
         let first = attempt(shared, call, &choice).await;
         match (&first, &call.head.prompt) {
@@ -249,13 +251,17 @@
 
 /// How long one try may take until its head has come. It is cut short only where another server
 /// may do better.
-fn limit_of(call: &Call, has_others: bool, earlier_sends: usize) -> Duration {
+fn limit_of<F>(call: &Call, earlier_sends: usize, has_others: F) -> Duration
+where
+    F: FnOnce() -> bool,
+{
     let left_ms = call.left_ms().0;
     let is_last = earlier_sends + 1 >= call.route.max_backends;
-    let limit_ms = if is_last || !has_others || call.kind() != CallKind::Idempotent {
-        left_ms
-    } else {
+    let may_go_on = call.kind() == CallKind::Idempotent && !is_last && has_others();
+    let limit_ms = if may_go_on {
         left_ms.min(call.route.target_ms.0 * SILENT_PERCENT / 100)
+    } else {
+        left_ms
     };
     Duration::from_millis(limit_ms)
 }
@@ -270,7 +276,8 @@
     }
 }
 
-fn note_result(shared: &Shared, worker: WorkerId, succeeded: bool) {
+/// Notes whether a backend server did what it was asked to.
+pub fn note_result(shared: &Shared, worker: WorkerId, succeeded: bool) {
     if let Some(backend) = shared.state.borrow_mut().backends.get_mut(worker) {
         backend.note_result(succeeded, now());
     }
--- a/src/gateway/kept.rs
+++ b/src/gateway/kept.rs
@@ -1,16 +1,20 @@
-//! Watches whether the store of kept KV cache answers, and whether it has started anew.
+//! Watches whether the stores of kept KV cache answer, and whether they have started anew.
 //!
-//! Naming a store that is down costs a request some hundred milliseconds, so it is named only
-//! while it answers.
+//! Naming a store that is down costs a request some hundred milliseconds, so one is named only
+//! while it answers. A store holds few questions at once: two gateways watch each store and tell
+//! the others.
 
 use {
     super::{Shared, clock::now, dialect::KeptState},
-    cactusspur_core::{DurationMs, gateway::kept_store},
+    cactusspur_core::{
+        DurationMs, Table, WorkerId,
+        gateway::{KeptStore, rank},
+    },
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
-/// How long the store may hold a question. Held ones cost nothing.
+/// How long a store may hold a question. Held ones cost nothing.
 const HELD_MS: DurationMs = DurationMs(1_000);
 /// How long it may take beside that.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_300);
@@ -18,60 +22,168 @@
 const RETRY: Duration = Duration::from_millis(500);
 /// The least time between two questions, so that a busy store isn't asked all the time.
 const PAUSE: Duration = Duration::from_millis(600);
+/// How long after its start a gateway waits to hear who else runs, before it counts itself among
+/// the watchers.
+const LISTEN_FIRST: Duration = Duration::from_millis(300);
+/// How often the configuration is looked at for stores, and a gateway that doesn't watch looks
+/// whether it should.
+const LOOK_PERIOD: Duration = Duration::from_millis(400);
+/// Gateways that ask one store: one, and one in case it fails.
+const WATCHERS: usize = 2;
 /// The largest answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 1_048_576;
 
-/// Starts to watch the store, as soon as a configuration names one.
+/// What a gateway believes of one store.
+#[derive(Clone, Copy, Debug, Default)]
+struct Belief {
+    answers: bool,
+    incarnation: Option<u64>,
+    /// Whether this gateway asks the store itself.
+    is_watched: bool,
+}
+
+/// What a gateway believes of the stores of kept KV cache.
+#[derive(Debug, Default)]
+pub struct KeptBeliefs {
+    rows: Table<SocketAddr, Belief>,
+}
+
+/// How a store has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeptChange {
+    /// Whether it began or ceased to answer.
+    pub is_turn: bool,
+    /// Whether it has lost what it held.
+    pub is_emptied: bool,
+}
+
+impl KeptBeliefs {
+    /// Whether a store answers.
+    #[must_use]
+    pub fn answers(&self, address: SocketAddr) -> bool {
+        self.rows.get(&address).is_some_and(|row| row.answers)
+    }
+
+    /// Takes in the life that a store told of; none if it did not answer. The last word holds,
+    /// whoever has asked.
+    pub fn note(&mut self, address: SocketAddr, told: Option<u64>) -> KeptChange {
+        let row = self.rows.get_or_insert_with(address, Belief::default);
+        let change = KeptChange {
+            is_turn: row.answers != told.is_some(),
+            is_emptied: row.incarnation.is_some() && told.is_some() && row.incarnation != told,
+        };
+        row.answers = told.is_some();
+        row.incarnation = told.or(row.incarnation);
+        change
+    }
+
+    /// Says whether this gateway asks a store itself.
+    pub fn set_watched(&mut self, address: SocketAddr, is_watched: bool) {
+        let row = self.rows.get_or_insert_with(address, Belief::default);
+        row.is_watched = is_watched;
+    }
+
+    /// What this gateway has learnt by asking, for those that don't ask.
+    #[must_use]
+    pub fn watched(&self) -> Vec<(SocketAddr, Option<u64>)> {
+        let rows = self.rows.iter().filter(|row| row.1.is_watched);
+        rows.map(|(address, row)| (*address, row.incarnation.filter(|_| row.answers)))
+            .collect()
+    }
+}
+
+/// Starts to watch the stores, as soon as a configuration names some.
 pub fn spawn(shared: &Rc<Shared>) {
-    ntex::rt::spawn(watch(Rc::clone(shared)));
+    ntex::rt::spawn(look(Rc::clone(shared)));
 }
 
-async fn watch(shared: Rc<Shared>) {
-    let mut last: Option<KeptState> = None;
+async fn look(shared: Rc<Shared>) {
+    sleep(LISTEN_FIRST).await;
+    let mut known: Vec<SocketAddr> = Vec::new();
     loop {
-        let routing = shared.state.borrow().routing.clone();
-        let Some(address) = routing.and_then(|routing| routing.kept_store()) else {
-            sleep(RETRY).await;
+        let listed = listed(&shared);
+        for store in &listed {
+            if !known.contains(&store.address) {
+                ntex::rt::spawn(watch(Rc::clone(&shared), store.clone()));
+            }
+        }
+        known = listed.iter().map(|store| store.address).collect();
+        sleep(LOOK_PERIOD).await;
+    }
+}
+
+fn listed(shared: &Shared) -> Vec<KeptStore> {
+    let routing = shared.state.borrow().routing.clone();
+    routing.map_or_else(Vec::new, |routing| routing.kept_stores().cloned().collect())
+}
+
+/// Watches one store for as long as the configuration lists it.
+async fn watch(shared: Rc<Shared>, store: KeptStore) {
+    let mut since = 0;
+    while listed(&shared).contains(&store) {
+        let is_watcher = is_watcher(&shared, store.id);
+        let mut state = shared.state.borrow_mut();
+        state.kept.set_watched(store.address, is_watcher);
+        drop(state);
+        if !is_watcher {
+            sleep(LOOK_PERIOD).await;
             continue;
-        };
-        let since = last.map_or(0, |last| last.next);
-        let told = ask(&shared, address, since).await;
-        note(&shared, last, told);
-        match told {
-            Some(_) => sleep(PAUSE).await,
-            None => sleep(RETRY).await,
         }
-        last = told.or(last);
+        let told = ask(&shared, store.address, since).await;
+        let change = note(&shared, store.address, told.map(|told| told.incarnation));
+        if change.is_turn || change.is_emptied {
+            shared.peers.announce(&shared);
+        }
+        since = told.map_or(since, |told| told.next);
+        sleep(if told.is_some() { PAUSE } else { RETRY }).await;
     }
 }
 
+/// Whether this gateway is one of the first in an order on which all agree.
+fn is_watcher(shared: &Shared, store: WorkerId) -> bool {
+    let rank_of = |name: &str| rank(store.0, WorkerId::of(name));
+    let own = rank_of(&shared.settings.name);
+    let state = shared.state.borrow();
+    let before = state
+        .peers
+        .running(now())
+        .filter(|name| rank_of(name) > own);
+    before.count() < WATCHERS
+}
+
 async fn ask(shared: &Shared, address: SocketAddr, since: u64) -> Option<KeptState> {
     let request = shared.dialect.ask_kept(since, HELD_MS);
     let exchange = async {
-        let reply = shared.links.send(address, request).await.ok()?;
-        let read = reply.read(&shared.links, MAX_ANSWER_BYTES).await;
-        shared.dialect.read_kept(&read.ok()?.1)
+        let reply = shared.links.send(address, request).await?;
+        reply.read(&shared.links, MAX_ANSWER_BYTES).await
     };
-    timeout(ANSWER_LIMIT, exchange).await.ok().flatten()
+    match timeout(ANSWER_LIMIT, exchange).await {
+        Ok(Ok((_, body))) => shared.dialect.read_kept(&body),
+        Ok(Err(error)) => {
+            tracing::debug!(%address, %error, "a store of kept KV cache did not answer");
+            None
+        }
+        Err(_) => {
+            tracing::debug!(%address, "a store of kept KV cache did not answer in time");
+            None
+        }
+    }
 }
 
-fn note(shared: &Shared, last: Option<KeptState>, told: Option<KeptState>) {
+/// Takes in what a store told, here or to a peer.
+pub fn note(shared: &Shared, address: SocketAddr, told: Option<u64>) -> KeptChange {
     let mut state = shared.state.borrow_mut();
-    let answers = told.is_some();
-    let restarted = match (last, told) {
-        (Some(last), Some(told)) => last.incarnation != told.incarnation,
-        _ => false,
-    };
-    if restarted || !answers {
-        state.cached.forget(kept_store());
+    let change = state.kept.note(address, told);
+    if change.is_emptied {
+        let routing = state.routing.clone();
+        let mut stores = routing.iter().flat_map(|routing| routing.kept_stores());
+        if let Some(store) = stores.find(|store| store.address == address) {
+            state.cached.forget(store.id);
+        }
     }
-    if state.kept_store_answers != answers || restarted {
-        tracing::info!(
-            answers,
-            restarted,
-            at_ms = now().0,
-            "store of kept KV cache"
-        );
+    if change.is_turn || change.is_emptied {
+        let (answers, is_emptied) = (told.is_some(), change.is_emptied);
+        tracing::info!(%address, answers, is_emptied, "store of kept KV cache");
     }
-    state.kept_store_answers = answers;
+    change
 }
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -38,6 +38,8 @@
     pub newest: Vec<(String, u64)>,
     /// The weights that it knows to be named, and for how long.
     pub weights: Vec<WeightsNotice>,
+    /// The lives of the stores of kept KV cache that it asks; none of one that doesn't answer.
+    pub kept: Vec<(SocketAddr, Option<u64>)>,
     /// Whether it is shutting down.
     pub is_stopping: bool,
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -8,6 +8,7 @@
     super::{
         GatewayError, GatewaySettings, Shared,
         clock::now,
+        kept,
         notice::{Notice, RolloutNotice, Standing},
         watch,
     },
@@ -231,6 +232,7 @@
             store_age_ms: state.store_age_ms(now()),
             newest: state.replica.newest(),
             weights: state.weights_notices(now()),
+            kept: state.kept.watched(),
             is_stopping: shared.is_stopping.get(),
         }
     }
@@ -246,14 +248,22 @@
     /// Tells the peers of this failure domain that a table has changed. They pull what is new, so
     /// that not all of them ask the store.
     pub fn announce_near(&self, shared: &Shared) {
-        let notice = Notice {
-            standing: Some(self.standing(shared)),
-            ..self.notice(shared, Vec::new())
-        };
         let state = shared.state.borrow();
         let near: Vec<SocketAddr> = state.peers.addresses_in(&shared.settings.domain).collect();
         drop(state);
-        self.send_to(notice, near.iter());
+        self.announce_to(shared, &near);
+    }
+
+    /// Tells some peers what this gateway knows.
+    fn announce_to(&self, shared: &Shared, peers: &[SocketAddr]) {
+        // What others wait to hear of sends and parts isn't for these alone.
+        let notice = Notice {
+            address: Some(self.address),
+            writing: shared.state.borrow().writing,
+            standing: Some(self.standing(shared)),
+            ..Notice::default()
+        };
+        self.send_to(notice, peers.iter());
     }
 
     fn send_to<'a, A>(&self, notice: Notice, told: A)
@@ -366,15 +376,18 @@
     }
     let is_new = state.peers.heard(address, notice, now);
     state.note_notice(notice, now);
+    drop(state);
     if is_new {
         // It may have started just now and know little.
-        drop(state);
-        shared.peers.announce(shared);
-        state = shared.state.borrow_mut();
+        shared.peers.announce_to(shared, &[address]);
     }
     let Some(standing) = standing else {
         return;
     };
+    for (address, told) in &standing.kept {
+        kept::note(shared, *address, *told);
+    }
+    let state = shared.state.borrow();
     let is_near = state.peers.is_in(address, &shared.settings.domain);
     if is_behind(&state.replica.heads(), &standing.newest) {
         drop(state);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -116,7 +116,7 @@
             let ended = self.pass_on(&mut source).await;
             match ended {
                 Ended::Complete => {
-                    self.note(worker, true);
+                    forward::note_result(&self.shared, worker, true);
                     self.log(worker, "complete");
                     self.shared
                         .links
@@ -128,7 +128,7 @@
                     return;
                 }
                 Ended::Broken(what) => {
-                    self.note(worker, false);
+                    forward::note_result(&self.shared, worker, false);
                     self.log(worker, &what);
                     // The run there ends before another one begins.
                     drop(source);
@@ -249,7 +249,7 @@
                     return Some(Source::new(choice, reply, in_flight));
                 }
                 Ok(Ok((reply, ..))) => {
-                    self.note(choice.worker, false);
+                    forward::note_result(&self.shared, choice.worker, false);
                     let status = reply.head.status;
                     self.log(choice.worker, &format!("not resumed: {status}"));
                 }
@@ -260,12 +260,6 @@
         None
     }
 
-    fn note(&self, worker: WorkerId, succeeded: bool) {
-        if let Some(backend) = self.shared.state.borrow_mut().backends.get_mut(worker) {
-            backend.note_result(succeeded, now());
-        }
-    }
-
     fn log(&self, worker: WorkerId, what: &str) {
         tracing::info!(
             request = self.call.head.request_id, route = self.call.route.name, %worker,
--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -124,6 +124,13 @@
             .collect()
     }
 
+    /// How many tables were read.
+    #[must_use]
+    pub fn read_tables(&self) -> usize {
+        let tables = self.tables.iter();
+        tables.filter(|(_, copy)| copy.head.is_some()).count()
+    }
+
     /// The newest change of each table that was read. Unlike heads, which rise with each poll,
     /// these are equal in copies that hold the same.
     #[must_use]
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,6 +5,7 @@
     super::{
         GatewaySettings,
         dialect::{Dialect, Update},
+        kept::KeptBeliefs,
         notice::{Notice, Peers, RolloutNotice, WeightsNotice},
         replica::{Replica, StoredRow},
     },
@@ -43,8 +44,8 @@
     pub budget: RetryBudget,
     /// The weights that were named, oldest first, by model.
     pub weights: Table<String, Vec<NamedWeights>>,
-    /// Whether the store of kept KV cache answers.
-    pub kept_store_answers: bool,
+    /// The stores of kept KV cache.
+    pub kept: KeptBeliefs,
     /// This gateway's requests in progress that mostly write.
     pub writing: u64,
     /// Other gateways.
@@ -75,7 +76,7 @@
             cached: CachedParts::default(),
             budget: RetryBudget::new(settings.budget),
             weights: Table::default(),
-            kept_store_answers: false,
+            kept: KeptBeliefs::default(),
             writing: 0,
             peers,
             rollout_heard_at_ms: None,
@@ -95,7 +96,7 @@
     /// Whether all tables are known and the configuration is.
     #[must_use]
     pub fn is_complete(&self) -> bool {
-        self.routing.is_some() && self.replica.newest().len() >= self.watched
+        self.routing.is_some() && self.replica.read_tables() >= self.watched
     }
 
     /// Notes a caller's request for a service.
@@ -130,12 +131,21 @@
             "store_age_ms": self.store_age_ms(now),
             "peers": self.peers.running(now).collect::<Vec<_>>(),
             "weights": self.weights_notices(now),
-            "kept_store_answers": self.kept_store_answers,
+            "kept_stores": self.kept_status(),
             "cached_parts": self.cached.len(),
             "backends": backends.collect::<Vec<_>>(),
         })
     }
 
+    fn kept_status(&self) -> Vec<Value> {
+        let routing = self.routing.iter();
+        let stores = routing.flat_map(|routing| routing.kept_stores());
+        let status = stores.map(
+            |store| json!({"address": store.address, "answers": self.kept.answers(store.address)}),
+        );
+        status.collect()
+    }
+
     /// Notes that the store answered.
     pub fn note_store(&mut self, now: TimeMs) {
         self.store_heard_at_ms = Some(now);
@@ -320,6 +330,12 @@
         true
     }
 
+    /// Whether entries of servers vanished in an outage and have not come back.
+    #[must_use]
+    pub fn has_vanished(&self) -> bool {
+        !self.vanished.is_empty()
+    }
+
     /// Takes servers out of use whose entries vanished in an outage and did not come back. Gives
     /// back whether there was one.
     pub fn drop_vanished(&mut self, now: TimeMs) -> bool {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -5,7 +5,7 @@
         Shared,
         clock::now,
         replica::{StoredRow, TableCopy},
-        store::{Changes, MetadataStore, StoreError},
+        store::{Changes, MetadataStore, StoreError, Written},
     },
     cactusspur_core::{DurationMs, WorkerId, gateway::rank},
     std::{rc::Rc, time::Duration},
@@ -88,9 +88,16 @@
     }
     let expected = known.map_or(0, |(version, _)| version);
     let value = own.to_string().into();
-    store
-        .write_row(GATEWAYS_TABLE, &shared.settings.name, expected, value)
-        .await?;
+    let name = &shared.settings.name;
+    match store
+        .write_row(GATEWAYS_TABLE, name, expected, value)
+        .await?
+    {
+        Written::Done { version, .. } => tracing::info!(version, "registered in the store"),
+        // An earlier write whose answer was lost, or the VM's earlier address: the second look
+        // at the table tells.
+        Written::Conflict => tracing::info!(expected, "the registration has changed meanwhile"),
+    }
     Ok(())
 }
 
@@ -204,7 +211,9 @@
     if changed {
         shared.weights_changed.notify_one();
     }
-    ntex::rt::spawn(drop_vanished(Rc::clone(shared)));
+    if shared.state.borrow().has_vanished() {
+        ntex::rt::spawn(drop_vanished(Rc::clone(shared)));
+    }
 }
 
 async fn drop_vanished(shared: Rc<Shared>) {
