Let peers tell the loads that engines told, and count their sends as occupancy

Cause: a gateway knew an engine's load only from its own answers. Now a notice carries the loads that were told since the last one, and the sends that it tells of count as occupancy. An estimate that grows old fades by halves instead of ending at once.

The line per send now tells the place in the order of engines and the shared tokens to read.

--- a/core/src/gateway/backend.rs
+++ b/core/src/gateway/backend.rs
@@ -10,7 +10,8 @@
     std::net::SocketAddr,
 };
 
-/// How long a load that a backend server has told counts. After that only own sends do.
+/// How long an estimate of the requests at a backend server counts in full: about as long as an
+/// answer takes. After each further such time it counts half as much.
 const LOAD_BELIEVED_MS: DurationMs = DurationMs(1_000);
 /// The time in which the memory of failures halves: a few of the shortest outages that matter.
 const FAILURE_HALF_LIFE_MS: DurationMs = DurationMs(2_000);
@@ -48,7 +49,7 @@
 }
 
 /// The load that a backend server tells with an answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Requests in progress.
     pub running: u64,
@@ -71,9 +72,9 @@
     pub loading_until_ms: TimeMs,
     queued_tokens: Tokens,
     queued_at_ms: TimeMs,
-    load: Load,
     load_at_ms: TimeMs,
-    sent_since_load: u64,
+    estimate: u64,
+    estimated_at_ms: TimeMs,
     failures: u64,
     failures_at_ms: TimeMs,
     unreachable_until_ms: TimeMs,
@@ -90,9 +91,9 @@
             loading_until_ms: TimeMs(0),
             queued_tokens: Tokens(0),
             queued_at_ms: TimeMs(0),
-            load: Load::default(),
             load_at_ms: TimeMs(0),
-            sent_since_load: 0,
+            estimate: 0,
+            estimated_at_ms: TimeMs(0),
             failures: 0,
             failures_at_ms: TimeMs(0),
             unreachable_until_ms: TimeMs(0),
@@ -117,12 +118,18 @@
 
     /// Notes a request that is being sent.
     pub fn note_sent(&mut self, unread: Tokens, now: TimeMs) {
-        self.note_queued(unread, now);
+        self.note_sent_by_peer(unread, now);
         self.in_flight += 1;
-        self.sent_since_load += 1;
         self.unread_tokens += unread;
     }
 
+    /// Notes a request that another entry VM has sent.
+    pub fn note_sent_by_peer(&mut self, unread: Tokens, now: TimeMs) {
+        self.note_queued(unread, now);
+        self.estimate = self.faded(now) + 1;
+        self.estimated_at_ms = now;
+    }
+
     /// Notes prompt tokens that any entry VM has sent.
     pub fn note_queued(&mut self, tokens: Tokens, now: TimeMs) {
         let queued = self.queued(now);
@@ -150,11 +157,11 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
-    /// Notes the load that came with an answer.
+    /// Notes the load that came with an answer, here or at another entry VM.
     pub fn note_load(&mut self, load: Load, now: TimeMs) {
-        self.load = load;
         self.load_at_ms = now;
-        self.sent_since_load = 0;
+        self.estimate = load.running + load.waiting;
+        self.estimated_at_ms = now;
     }
 
     /// Notes whether it did what it was asked to.
@@ -202,15 +209,16 @@
         now.since(self.load_at_ms)
     }
 
-    /// The requests that are probably there: what it told last and what was sent since, or this
-    /// entry VM's own, whichever is more.
+    /// The requests that are probably there: what it told last and what all entry VMs have sent
+    /// since, or this entry VM's own, whichever is more.
     #[must_use]
     pub fn occupancy(&self, now: TimeMs) -> u64 {
-        if now.since(self.load_at_ms) > LOAD_BELIEVED_MS {
-            return self.in_flight;
-        }
-        let told = self.load.running + self.load.waiting + self.sent_since_load;
-        told.max(self.in_flight)
+        self.faded(now).max(self.in_flight)
+    }
+
+    fn faded(&self, now: TimeMs) -> u64 {
+        let halvings = now.since(self.estimated_at_ms).0 / LOAD_BELIEVED_MS.0;
+        self.estimate >> halvings.min(63)
     }
 }
 
--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -49,6 +49,10 @@
     pub mostly_writes: bool,
     /// Prompt tokens that it is predicted to read.
     pub unread: Tokens,
+    /// How many of these other requests share.
+    pub unread_shared: Tokens,
+    /// Its place in the order of engines that all entry VMs agree on; the first is the home.
+    pub steps_from_home: u64,
     /// The weights that the request runs on, of a model's.
     pub weights: Option<WeightsVersion>,
     /// The predicted time to the first token.
@@ -128,6 +132,8 @@
         saves: None,
         mostly_writes: false,
         unread: Tokens(0),
+        unread_shared: Tokens(0),
+        steps_from_home: 0,
         weights: None,
         first_token_ms: DurationMs(0),
         limit_ms: None,
--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -175,6 +175,8 @@
         mostly_writes: call.mostly_writes(),
         saves: saved_to(around, &keys, engine, call.kept_stores),
         unread: Tokens(own + reread),
+        unread_shared: Tokens(reread),
+        steps_from_home,
         weights: Some(weights),
         first_token_ms: DurationMs(first_token_ms),
         limit_ms: outdated_for(weights, call.named, around.now).map(|(age, permitted)| {
--- a/core/tests/gateway/load.rs
+++ b/core/tests/gateway/load.rs
@@ -6,7 +6,7 @@
     },
     cactusspur_core::{
         DurationMs, Tokens, WorkerId,
-        gateway::{Fetch, rank},
+        gateway::{Fetch, Load, rank},
     },
     std::collections::BTreeMap,
     test_case::test_case,
@@ -82,6 +82,40 @@
     assert_eq!(world.choose(&prompt, read).expect("an engine").worker, home);
 }
 
+/// Pattern: many entry VMs, each of which sends little to any one engine. An engine that others
+/// have filled is seen to be full by one that has never sent there.
+#[test]
+fn sends_and_loads_that_peers_tell_of_fill_an_engine() {
+    let mut world = World::with_engines(12);
+    let first = world.choose(&short_prompt(1, 1), NOW).expect("an engine");
+    let writer = first.worker;
+    let backend = world.backends.get_mut(writer).expect("an engine");
+    for _ in 0..20 {
+        backend.note_sent_by_peer(Tokens(0), NOW);
+    }
+    assert_eq!(backend.occupancy(NOW), 20);
+    let load = Load {
+        running: 60,
+        waiting: 4,
+    };
+    backend.note_load(load, NOW);
+    assert_eq!(backend.occupancy(NOW), 64, "the load includes the sends");
+    let next = world.choose(&short_prompt(1, 2), NOW).expect("an engine");
+    assert_ne!(next.worker, writer);
+}
+
+/// Pattern: an engine that was full when it was last heard. It is not taken for idle all at once.
+#[test_case(900, 40; "just told")]
+#[test_case(1_500, 20; "a while ago")]
+#[test_case(2_500, 10; "longer ago")]
+#[test_case(9_000, 0; "long ago")]
+fn a_told_load_fades(age_ms: u64, expected: u64) {
+    let mut world = World::with_engines(1);
+    world.load(0, 40, NOW);
+    let backend = world.backends.get(worker(0)).expect("an engine");
+    assert_eq!(backend.occupancy(NOW.after(DurationMs(age_ms))), expected);
+}
+
 /// Pattern: capacity that crashed. Engines that can't be reached are left out at once, and what
 /// they held is fetched from others or read elsewhere.
 #[test]
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -349,6 +349,8 @@
         if let Some(backend) = state.backends.get_mut(choice.worker) {
             backend.note_load(load, now());
         }
+        drop(state);
+        shared.peers.note_load(choice.worker, load);
     }
     if head.is_not_run || head.is_misdirected {
         return Err(not_run(shared, choice, reply, &head).await);
@@ -363,7 +365,8 @@
     tracing::info!(
         request = call.head.request_id, route = call.route.name, worker = %choice.worker,
         configuration = call.routing.version, weights = choice.weights.map(|weights| weights.0),
-        fetch = ?choice.fetch, unread = choice.unread.0,
+        fetch = ?choice.fetch, unread = choice.unread.0, unread_shared = choice.unread_shared.0,
+        steps_from_home = choice.steps_from_home,
         predicted_ms = choice.first_token_ms.0,
         occupancy = backend.map(|backend| backend.occupancy(now())),
         load_age_ms = backend.map(|backend| backend.load_age_ms(now()).0),
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -1,7 +1,10 @@
 //! What gateways tell each other without being asked.
 
 use {
-    cactusspur_core::{DurationMs, TimeMs, Tokens, WeightsVersion, WorkerId, gateway::PartNote},
+    cactusspur_core::{
+        DurationMs, TimeMs, Tokens, WeightsVersion, WorkerId,
+        gateway::{Load, PartNote},
+    },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -17,6 +20,8 @@
     pub writing: u64,
     /// Prompt tokens that were sent to engines since the last notice.
     pub sent: Vec<(WorkerId, Tokens)>,
+    /// The loads that backend servers have told since the last notice.
+    pub loads: Vec<(WorkerId, Load)>,
     /// What the sender is doing as the holder of the lease on orders.
     pub rollout: Option<RolloutNotice>,
     /// What the sender is and knows, from time to time and when that has changed.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -17,7 +17,10 @@
         timeline::HybridTime,
     },
     bytes::Bytes,
-    cactusspur_core::{EntryId, Table, Tokens, WorkerId, gateway::PartNote},
+    cactusspur_core::{
+        EntryId, Table, Tokens, WorkerId,
+        gateway::{Load, PartNote},
+    },
     error_stack::{Report, ResultExt},
     std::{
         cell::{Cell, RefCell},
@@ -84,6 +87,7 @@
     links: RefCell<Table<SocketAddr, Rc<PeerLink>>>,
     notes: RefCell<Vec<PartNote>>,
     sent: RefCell<Vec<(WorkerId, Tokens)>>,
+    loads: RefCell<Vec<(WorkerId, Load)>>,
     is_flush_due: Cell<bool>,
     is_pulling: Cell<bool>,
 }
@@ -114,6 +118,7 @@
             links: RefCell::default(),
             notes: RefCell::default(),
             sent: RefCell::default(),
+            loads: RefCell::default(),
             is_flush_due: Cell::new(false),
             is_pulling: Cell::new(false),
         })
@@ -143,6 +148,11 @@
         self.flush_soon(shared);
     }
 
+    /// Tells all peers with the next notice what load a backend server told.
+    pub fn note_load(&self, worker: WorkerId, load: Load) {
+        self.loads.borrow_mut().push((worker, load));
+    }
+
     /// Tells all peers soon which parts a backend server holds.
     pub fn note_parts(&self, shared: &Rc<Shared>, notes: &[PartNote]) {
         self.notes.borrow_mut().extend_from_slice(notes);
@@ -218,6 +228,7 @@
             parts,
             writing: shared.state.borrow().writing,
             sent: self.sent.take(),
+            loads: self.loads.take(),
             rollout: None,
             standing: None,
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -292,7 +292,12 @@
         }
         for (worker, tokens) in &notice.sent {
             if let Some(backend) = self.backends.get_mut(*worker) {
-                backend.note_queued(*tokens, now);
+                backend.note_sent_by_peer(*tokens, now);
+            }
+        }
+        for (worker, load) in &notice.loads {
+            if let Some(backend) = self.backends.get_mut(*worker) {
+                backend.note_load(*load, now);
             }
         }
         self.note_parts(&notice.parts, now);
