Predict reading times by pieces and pairs, and learn each engine's pace

Reading slows down as a prompt grows, each piece costs a step, and engines differ in speed. Queues were kept in tokens and drained at the same wrong rate. Now a nominal time counts tokens, steps and pairs; each engine has a pace, learnt from first tokens without a queue before them, which notices share; queues are kept in milliseconds of work.

--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod cached;
 pub mod choice;
+pub mod pace;
 mod prediction;
 pub mod rollout;
 pub mod routing;
@@ -17,6 +18,7 @@
     budget::{BudgetTerms, RetryBudget},
     cached::{CacheScope, CachedParts, HeldAs, PartNote, PromptPart, chain_of, rank, scoped},
     choice::{Choice, Fetch, ModelCall, NamedWeights, Surroundings, choose_model, choose_plain},
+    pace::Pace,
     rollout::{OrderState, Rollout, RolloutEngine, RolloutStep},
     routing::{
         CallKind, CallerLimits, CustomerSpec, KeptStore, Route, RoutingTable, ServiceSpec, Split,
--- a/core/src/gateway/backend.rs
+++ b/core/src/gateway/backend.rs
@@ -1,10 +1,11 @@
 //! The backend servers that a gateway forwards to, and what it believes of each.
 
 use {
+    super::pace::Pace,
     crate::{
         id::{WeightsVersion, WorkerId},
         table::Table,
-        unit::{DurationMs, TimeMs, Tokens},
+        unit::{DurationMs, TimeMs},
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -17,9 +18,6 @@
 const FAILURE_HALF_LIFE_MS: DurationMs = DurationMs(2_000);
 /// The weight of the newest result among earlier ones, in percent.
 const FAILURE_WEIGHT_PERCENT: u64 = 35;
-/// Prompt tokens that an engine reads in a millisecond, until one is known to differ. Of the
-/// deployments' engines.
-pub const READ_TOKENS_PER_MS: u64 = 42;
 /// A backend server that always fails.
 pub const ALWAYS_FAILS: u64 = 1_000;
 /// How long a backend server is left out after a connection to it could not be opened.
@@ -64,13 +62,14 @@
     pub spec: BackendSpec,
     /// This entry VM's requests in progress there.
     pub in_flight: u64,
-    /// Prompt tokens of this entry VM's requests that wait for their first token there.
-    pub unread_tokens: Tokens,
+    /// The time that an engine takes to read, beside a nominal one.
+    pub pace: Pace,
+    own_reading_ms: DurationMs,
     /// Until when it is better left to finish its work, since its weights are about to change.
     pub held_until_ms: TimeMs,
     /// Until when it turns new requests down, since it changes its weights.
     pub loading_until_ms: TimeMs,
-    queued_tokens: Tokens,
+    queued_ms: DurationMs,
     queued_at_ms: TimeMs,
     load_at_ms: TimeMs,
     estimate: u64,
@@ -86,10 +85,11 @@
         Self {
             spec,
             in_flight: 0,
-            unread_tokens: Tokens(0),
+            pace: Pace::default(),
+            own_reading_ms: DurationMs(0),
             held_until_ms: TimeMs(0),
             loading_until_ms: TimeMs(0),
-            queued_tokens: Tokens(0),
+            queued_ms: DurationMs(0),
             queued_at_ms: TimeMs(0),
             load_at_ms: TimeMs(0),
             estimate: 0,
@@ -116,40 +116,38 @@
         }
     }
 
-    /// Notes a request that is being sent.
-    pub fn note_sent(&mut self, unread: Tokens, now: TimeMs) {
-        self.note_sent_by_peer(unread, now);
+    /// Notes a request that is being sent. `reading_ms` is what its prompt takes to be read.
+    pub fn note_sent(&mut self, reading_ms: DurationMs, now: TimeMs) {
+        self.note_sent_by_peer(reading_ms, now);
         self.in_flight += 1;
-        self.unread_tokens += unread;
+        self.own_reading_ms += reading_ms;
     }
 
     /// Notes a request that another entry VM has sent.
-    pub fn note_sent_by_peer(&mut self, unread: Tokens, now: TimeMs) {
-        self.note_queued(unread, now);
+    pub fn note_sent_by_peer(&mut self, reading_ms: DurationMs, now: TimeMs) {
+        self.note_queued(reading_ms, now);
         self.estimate = self.faded(now) + 1;
         self.estimated_at_ms = now;
     }
 
-    /// Notes prompt tokens that any entry VM has sent.
-    pub fn note_queued(&mut self, tokens: Tokens, now: TimeMs) {
-        let queued = self.queued(now);
-        self.queued_tokens = Tokens(queued.0 + tokens.0);
+    /// Notes prompts to read that any entry VM has sent.
+    pub fn note_queued(&mut self, reading_ms: DurationMs, now: TimeMs) {
+        self.queued_ms = self.queue_ms(now) + reading_ms;
         self.queued_at_ms = now;
     }
 
-    /// The prompt tokens that are probably still to be read: what all entry VMs have sent, less
-    /// what the engine has read since, and at least what this one still waits for.
+    /// The time until it has probably read what is there: what all entry VMs have sent, less the
+    /// time since, and at least what this one still waits for.
     #[must_use]
-    pub fn queued(&self, now: TimeMs) -> Tokens {
-        let read = Tokens(now.since(self.queued_at_ms).0 * READ_TOKENS_PER_MS);
-        self.queued_tokens
-            .saturating_sub(read)
-            .max(self.unread_tokens)
+    pub fn queue_ms(&self, now: TimeMs) -> DurationMs {
+        self.queued_ms
+            .saturating_sub(now.since(self.queued_at_ms))
+            .max(self.own_reading_ms)
     }
 
     /// Notes that the first token of a request has come, or never will.
-    pub fn note_read(&mut self, unread: Tokens) {
-        self.unread_tokens = self.unread_tokens.saturating_sub(unread);
+    pub fn note_read(&mut self, reading_ms: DurationMs) {
+        self.own_reading_ms = self.own_reading_ms.saturating_sub(reading_ms);
     }
 
     /// Notes that a request has ended.
--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -49,7 +49,13 @@
     pub mostly_writes: bool,
     /// Prompt tokens that it is predicted to read.
     pub unread: Tokens,
-    /// How many of these other requests share.
+    /// What a nominal engine takes to read them.
+    pub nominal_ms: DurationMs,
+    /// What this one takes.
+    pub reading_ms: DurationMs,
+    /// What others have queued up there before.
+    pub queue_ms: DurationMs,
+    /// How many of these tokens other requests share.
     pub unread_shared: Tokens,
     /// Its place in the order of engines that all entry VMs agree on; the first is the home.
     pub steps_from_home: u64,
@@ -132,6 +138,9 @@
         saves: None,
         mostly_writes: false,
         unread: Tokens(0),
+        nominal_ms: DurationMs(0),
+        reading_ms: DurationMs(0),
+        queue_ms: DurationMs(0),
         unread_shared: Tokens(0),
         steps_from_home: 0,
         weights: None,
--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
-        backend::{Backend, READ_TOKENS_PER_MS},
+        backend::Backend,
         cached::{CacheScope, PromptPart, rank, scoped},
         choice::{Choice, Fetch, ModelCall, NamedWeights, Surroundings},
+        pace::nominal_ms,
         routing::{KeptStore, ServiceSpec},
     },
     crate::{
@@ -129,8 +130,12 @@
         }
         _ => 0,
     };
-    let read_ms = (own + reread + backend.queued(around.now).0) / READ_TOKENS_PER_MS;
-    let first_token_ms = read_ms + fetch_ms;
+    let cached = Tokens(tokens(&call.parts[..fetched]));
+    let nominal = nominal_ms(Tokens(own + reread), cached);
+    let reading_ms = backend.pace.scale(nominal).0;
+    let queued_ms = backend.queue_ms(around.now).0;
+    let later_ms = queued_ms + reading_ms;
+    let first_token_ms = later_ms + fetch_ms;
     let streams = backend.occupancy(around.now);
     let (home_ms, crowd_ms, held_ms) = if call.mostly_writes() {
         let crowd = streams.saturating_sub(engine.free_slots());
@@ -156,8 +161,6 @@
     } else {
         0
     };
-    let queued_ms = backend.queued(around.now).0 / READ_TOKENS_PER_MS;
-    let later_ms = queued_ms + (own + reread) / READ_TOKENS_PER_MS;
     // What the reading does to streams that are there already, and to this one.
     let others_late_ms = streams * (stall_ms(later_ms) - stall_ms(queued_ms));
     let cost = first_token_ms
@@ -175,6 +178,9 @@
         mostly_writes: call.mostly_writes(),
         saves: saved_to(around, &keys, engine, call.kept_stores),
         unread: Tokens(own + reread),
+        nominal_ms: nominal,
+        reading_ms: DurationMs(reading_ms),
+        queue_ms: DurationMs(queued_ms),
         unread_shared: Tokens(reread),
         steps_from_home,
         weights: Some(weights),
--- a/core/tests/gateway/fixture.rs
+++ b/core/tests/gateway/fixture.rs
@@ -220,7 +220,7 @@
     /// Notes that a request was sent where it was to.
     pub fn note_sent(&mut self, choice: &Choice, now: TimeMs) {
         let backend = self.backends.get_mut(choice.worker).expect("a server");
-        backend.note_sent(choice.unread, now);
+        backend.note_sent(choice.reading_ms, now);
     }
 }
 
--- a/core/tests/gateway/load.rs
+++ b/core/tests/gateway/load.rs
@@ -26,7 +26,7 @@
         world.draw = rank(number, choice.worker);
         // The queue that is estimated from sends is what is looked at here.
         let backend = world.backends.get_mut(choice.worker).expect("an engine");
-        backend.note_read(choice.unread);
+        backend.note_read(choice.reading_ms);
         *counts.entry(choice.worker).or_default() += 1;
     }
     counts
@@ -75,7 +75,7 @@
     let prompt = long_prompt(1, 1);
     let home = world.choose(&prompt, NOW).expect("an engine").worker;
     let backend = world.backends.get_mut(home).expect("the home");
-    backend.note_queued(Tokens(40_000), NOW);
+    backend.note_queued(DurationMs(950), NOW);
     let busy = world.choose(&prompt, NOW).expect("an engine").worker;
     assert_ne!(busy, home);
     let read = NOW.after(DurationMs(1_500));
@@ -91,7 +91,7 @@
     let writer = first.worker;
     let backend = world.backends.get_mut(writer).expect("an engine");
     for _ in 0..20 {
-        backend.note_sent_by_peer(Tokens(0), NOW);
+        backend.note_sent_by_peer(DurationMs(0), NOW);
     }
     assert_eq!(backend.occupancy(NOW), 20);
     let load = Load {
@@ -155,7 +155,7 @@
     let home = world.choose(&prompt, NOW).expect("an engine").worker;
     world.note_read(&prompt, home, None, NOW);
     let backend = world.backends.get_mut(home).expect("the home");
-    backend.note_queued(Tokens(30_000), NOW);
+    backend.note_queued(DurationMs(710), NOW);
     let choice = world.choose(&long_prompt(1, 2), NOW).expect("an engine");
     assert_ne!(choice.worker, home);
     assert_eq!(choice.fetch, Some(Fetch::Engine(home)));
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -4,5 +4,6 @@
 mod cached;
 mod fixture;
 mod load;
+mod pace;
 mod rollout;
 mod routing;
--- /dev/null
+++ b/core/tests/gateway/pace.rs
@@ -0,0 +1,43 @@
+//! How long engines take to read prompts.
+
+use {
+    cactusspur_core::{
+        DurationMs, Tokens,
+        gateway::{Pace, pace::nominal_ms},
+    },
+    test_case::test_case,
+};
+
+/// First tokens of idle engines that are as fast as the sheets say, within a sixth.
+#[test_case(0, 0, 0; "nothing to read")]
+#[test_case(628, 200, 21; "a short prompt")]
+#[test_case(2_890, 6_300, 101; "behind cached parts")]
+#[test_case(9_190, 0, 290; "a cold long prompt")]
+#[test_case(15_300, 0, 529; "a very long one")]
+fn long_prompts_take_more_than_their_share(new: u64, cached: u64, expected_ms: u64) {
+    let nominal = nominal_ms(Tokens(new), Tokens(cached)).0;
+    assert!(
+        nominal.abs_diff(expected_ms) * 6 <= expected_ms,
+        "{nominal}"
+    );
+}
+
+#[test]
+fn a_slow_engine_is_learnt() {
+    let mut pace = Pace::default();
+    for _ in 0..12 {
+        pace.learn(Pace::sample(DurationMs(100), DurationMs(130)).expect("a sample"));
+    }
+    let scaled = pace.scale(DurationMs(200)).0;
+    assert!((250..=260).contains(&scaled), "{scaled}");
+}
+
+#[test_case(20, 30; "too short a prompt")]
+#[test_case(100, 20; "a prompt that was cached")]
+#[test_case(100, 800; "others were in the way")]
+fn what_tells_nothing_is_no_sample(nominal_ms: u64, actual_ms: u64) {
+    assert_eq!(
+        Pace::sample(DurationMs(nominal_ms), DurationMs(actual_ms)),
+        None
+    );
+}
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -8,9 +8,9 @@
     },
     bytes::Bytes,
     cactusspur_core::{
-        DurationMs, TimeMs, Tokens, Verdict, WorkerId,
+        DurationMs, TimeMs, Verdict, WorkerId,
         gateway::{
-            CacheScope, CallKind, Choice, CustomerSpec, Fetch, HeldAs, KeptStore, ModelCall,
+            CacheScope, CallKind, Choice, CustomerSpec, Fetch, HeldAs, KeptStore, ModelCall, Pace,
             PartNote, Route, RoutingTable, Surroundings, chain_of, choose_model, choose_plain,
             scoped,
         },
@@ -296,46 +296,75 @@
     shared: Rc<Shared>,
     /// The server.
     pub worker: WorkerId,
-    unread: Cell<Tokens>,
-    writes: bool,
+    choice: Choice,
+    sent_at_ms: TimeMs,
+    is_read: Cell<bool>,
 }
 
 impl InFlight {
     /// Notes that a request is sent.
     #[must_use]
     pub fn begin(shared: &Rc<Shared>, choice: &Choice) -> Self {
+        let sent_at_ms = now();
         let mut state = shared.state.borrow_mut();
         state.writing += u64::from(choice.mostly_writes);
         if let Some(backend) = state.backends.get_mut(choice.worker) {
-            backend.note_sent(choice.unread, now());
+            backend.note_sent(choice.reading_ms, sent_at_ms);
         }
         drop(state);
-        if choice.unread > Tokens(0) {
-            shared.peers.note_sent(shared, choice.worker, choice.unread);
+        if choice.reading_ms > DurationMs(0) {
+            shared
+                .peers
+                .note_sent(shared, choice.worker, choice.reading_ms);
         }
         Self {
             shared: Rc::clone(shared),
             worker: choice.worker,
-            unread: Cell::new(choice.unread),
-            writes: choice.mostly_writes,
+            choice: *choice,
+            sent_at_ms,
+            is_read: Cell::new(false),
         }
     }
 
     /// Notes that the first token has come.
     pub fn first_token(&self) {
-        let unread = self.unread.replace(Tokens(0));
+        self.note_read();
+        if self.choice.queue_ms > DurationMs(0) {
+            return;
+        }
+        // What was fetched first doesn't tell how fast the engine reads.
+        let fetch_ms = self
+            .choice
+            .first_token_ms
+            .saturating_sub(self.choice.reading_ms);
+        let took_ms = now().since(self.sent_at_ms).saturating_sub(fetch_ms);
+        let Some(sample) = Pace::sample(self.choice.nominal_ms, took_ms) else {
+            return;
+        };
+        if let Some(backend) = self.shared.state.borrow_mut().backends.get_mut(self.worker) {
+            backend.pace.learn(sample);
+        }
+        self.shared.peers.note_pace(self.worker, sample);
+    }
+
+    /// Notes that its prompt has been read, or never will be.
+    fn note_read(&self) {
+        if self.is_read.replace(true) {
+            return;
+        }
         let mut state = self.shared.state.borrow_mut();
         if let Some(backend) = state.backends.get_mut(self.worker) {
-            backend.note_read(unread);
+            backend.note_read(self.choice.reading_ms);
         }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.first_token();
+        self.note_read();
         let mut state = self.shared.state.borrow_mut();
-        state.writing = state.writing.saturating_sub(u64::from(self.writes));
+        let writes = u64::from(self.choice.mostly_writes);
+        state.writing = state.writing.saturating_sub(writes);
         if let Some(backend) = state.backends.get_mut(self.worker) {
             backend.note_ended();
         }
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -2,8 +2,8 @@
 
 use {
     cactusspur_core::{
-        DurationMs, TimeMs, Tokens, WeightsVersion, WorkerId,
-        gateway::{Load, PartNote},
+        DurationMs, TimeMs, WeightsVersion, WorkerId,
+        gateway::{Load, Pace, PartNote},
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -18,10 +18,13 @@
     pub parts: Vec<PartNote>,
     /// The sender's requests in progress that mostly write.
     pub writing: u64,
-    /// Prompt tokens that were sent to engines since the last notice.
-    pub sent: Vec<(WorkerId, Tokens)>,
+    /// Requests that were sent to engines since the last notice, and what their prompts take to be
+    /// read.
+    pub sent: Vec<(WorkerId, DurationMs)>,
     /// The loads that backend servers have told since the last notice.
     pub loads: Vec<(WorkerId, Load)>,
+    /// The paces that engines have shown since then.
+    pub paces: Vec<(WorkerId, Pace)>,
     /// What the sender is doing as the holder of the lease on orders.
     pub rollout: Option<RolloutNotice>,
     /// What the sender is and knows, from time to time and when that has changed.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -18,8 +18,8 @@
     },
     bytes::Bytes,
     cactusspur_core::{
-        EntryId, Table, Tokens, WorkerId,
-        gateway::{Load, PartNote},
+        DurationMs, EntryId, Table, WorkerId,
+        gateway::{Load, Pace, PartNote},
     },
     error_stack::{Report, ResultExt},
     std::{
@@ -86,8 +86,9 @@
     number: Cell<u64>,
     links: RefCell<Table<SocketAddr, Rc<PeerLink>>>,
     notes: RefCell<Vec<PartNote>>,
-    sent: RefCell<Vec<(WorkerId, Tokens)>>,
+    sent: RefCell<Vec<(WorkerId, DurationMs)>>,
     loads: RefCell<Vec<(WorkerId, Load)>>,
+    paces: RefCell<Vec<(WorkerId, Pace)>>,
     is_flush_due: Cell<bool>,
     is_pulling: Cell<bool>,
 }
@@ -119,6 +120,7 @@
             notes: RefCell::default(),
             sent: RefCell::default(),
             loads: RefCell::default(),
+            paces: RefCell::default(),
             is_flush_due: Cell::new(false),
             is_pulling: Cell::new(false),
         })
@@ -142,9 +144,9 @@
         self.send(shared, notice);
     }
 
-    /// Tells all peers soon that prompt tokens were sent to an engine.
-    pub fn note_sent(&self, shared: &Rc<Shared>, worker: WorkerId, unread: Tokens) {
-        self.sent.borrow_mut().push((worker, unread));
+    /// Tells all peers soon that a prompt was sent to an engine.
+    pub fn note_sent(&self, shared: &Rc<Shared>, worker: WorkerId, reading_ms: DurationMs) {
+        self.sent.borrow_mut().push((worker, reading_ms));
         self.flush_soon(shared);
     }
 
@@ -153,6 +155,11 @@
         self.loads.borrow_mut().push((worker, load));
     }
 
+    /// Tells all peers with the next notice what pace an engine has shown.
+    pub fn note_pace(&self, worker: WorkerId, sample: Pace) {
+        self.paces.borrow_mut().push((worker, sample));
+    }
+
     /// Tells all peers soon which parts a backend server holds.
     pub fn note_parts(&self, shared: &Rc<Shared>, notes: &[PartNote]) {
         self.notes.borrow_mut().extend_from_slice(notes);
@@ -229,6 +236,7 @@
             writing: shared.state.borrow().writing,
             sent: self.sent.take(),
             loads: self.loads.take(),
+            paces: self.paces.take(),
             rollout: None,
             standing: None,
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -290,9 +290,14 @@
                 self.note_named(&told.model, told.version, heard_at_ms);
             }
         }
-        for (worker, tokens) in &notice.sent {
+        for (worker, sample) in &notice.paces {
             if let Some(backend) = self.backends.get_mut(*worker) {
-                backend.note_sent_by_peer(*tokens, now);
+                backend.pace.learn(*sample);
+            }
+        }
+        for (worker, reading_ms) in &notice.sent {
+            if let Some(backend) = self.backends.get_mut(*worker) {
+                backend.note_sent_by_peer(*reading_ms, now);
             }
         }
         for (worker, load) in &notice.loads {
