Forget what an engine held when it has new weights, whoever tells

Cause: an engine that loads weights discards what it holds. With it, only parts that somebody holds or reads count as read again when a server is chosen: what nobody has read for new weights is no repetition.

--- a/core/src/gateway/backend.rs
+++ b/core/src/gateway/backend.rs
@@ -108,12 +108,15 @@
         weights.find(|row| row.0 == model).map(|row| row.1)
     }
 
-    /// Notes that it has at least this version of a model's weights.
-    pub fn note_weights(&mut self, model: &str, version: WeightsVersion) {
+    /// Notes that it has at least this version of a model's weights. Gives back whether they are
+    /// newer than was known, so that what it held for older ones is gone.
+    pub fn note_weights(&mut self, model: &str, version: WeightsVersion) -> bool {
         let row = self.spec.weights.iter_mut().find(|row| row.0 == model);
-        if let Some(row) = row {
-            row.1 = row.1.max(version);
-        }
+        let Some(row) = row.filter(|row| row.1 < version) else {
+            return false;
+        };
+        row.1 = version;
+        true
     }
 
     /// Notes a request that is being sent. `reading_ms` is what its prompt takes to be read.
@@ -227,22 +230,28 @@
 }
 
 impl BackendTable {
-    /// Takes over what a server says of itself. Gives back whether it started anew, so that what
-    /// was believed of its earlier life must go.
+    /// Takes over what a server says of itself. Gives back whether it has lost what it held: it
+    /// started anew or has newer weights.
     pub fn upsert(&mut self, spec: BackendSpec) -> bool {
         let id = WorkerId::of(&spec.instance);
         let Some(backend) = self.rows.get_mut(&id) else {
             self.rows.insert(id, Backend::new(spec));
             return false;
         };
-        let restarted = backend.spec.born_ms != spec.born_ms;
-        let weights = std::mem::replace(&mut backend.spec, spec).weights;
-        if !restarted {
-            for (model, version) in weights {
-                backend.note_weights(&model, version);
-            }
+        let told = spec.weights.clone();
+        let known = std::mem::replace(&mut backend.spec, spec);
+        if known.born_ms != backend.spec.born_ms {
+            return true;
         }
-        restarted
+        // What it tells lags behind what its orders' answers have told.
+        for (model, version) in &known.weights {
+            backend.note_weights(model, *version);
+        }
+        let newer = |row: &(String, WeightsVersion)| {
+            let earlier = known.weights.iter().find(|known| known.0 == row.0);
+            earlier.is_some_and(|earlier| earlier.1 < row.1)
+        };
+        told.iter().any(newer)
     }
 
     /// Takes a server out of use.
--- a/core/src/gateway/cached.rs
+++ b/core/src/gateway/cached.rs
@@ -165,6 +165,12 @@
         self.holders(part, now).any(|holder| holder == worker)
     }
 
+    /// Whether anybody holds a part or is about to.
+    #[must_use]
+    pub fn is_held(&self, part: u64, now: TimeMs) -> bool {
+        self.holders(part, now).next().is_some()
+    }
+
     /// All that have read a part, so that others can fetch it there.
     pub fn sources(&self, part: u64, now: TimeMs) -> impl Iterator<Item = WorkerId> {
         let holders = self.parts.get(&part).into_iter().flatten();
--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -57,6 +57,8 @@
     pub queue_ms: DurationMs,
     /// How many of these tokens other requests share.
     pub unread_shared: Tokens,
+    /// How many of those somebody else holds or is reading.
+    pub unread_again: Tokens,
     /// Its place in the order of engines that all entry VMs agree on; the first is the home.
     pub steps_from_home: u64,
     /// The weights that the request runs on, of a model's.
@@ -142,6 +144,7 @@
         reading_ms: DurationMs(0),
         queue_ms: DurationMs(0),
         unread_shared: Tokens(0),
+        unread_again: Tokens(0),
         steps_from_home: 0,
         weights: None,
         first_token_ms: DurationMs(0),
--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -14,8 +14,8 @@
     },
 };
 
-/// The cost of reading a thousand shared tokens again beside the time that it takes, in
-/// milliseconds: recomputed prompt work is paid for.
+/// The cost of reading a thousand shared tokens again that somebody holds, beside the time that it
+/// takes, in milliseconds: recomputed prompt work is paid for.
 const REREAD_MS_PER_THOUSAND: u64 = 100;
 /// How many times as long the store of kept KV cache takes for a transfer as an engine: its link
 /// is slower and serves all engines.
@@ -123,6 +123,10 @@
     let tokens = |range: &[PromptPart]| range.iter().map(|part| part.tokens.0).sum::<u64>();
     let fetched_tokens = tokens(&call.parts[held..fetched]);
     let reread = tokens(&call.parts[fetched..shared]);
+    let again: u64 = (fetched..shared)
+        .filter(|at| around.cached.is_held(keys[*at], around.now))
+        .map(|at| call.parts[at].tokens.0)
+        .sum();
     let own = tokens(&call.parts[shared..]);
     let fetch_ms = match source {
         Some((source, _)) if fetched > held => {
@@ -166,7 +170,7 @@
     let cost = first_token_ms
         + others_late_ms
         + stall_ms(later_ms)
-        + reread * REREAD_MS_PER_THOUSAND / 1_000
+        + again * REREAD_MS_PER_THOUSAND / 1_000
         + home_ms
         + crowd_ms
         + held_ms
@@ -182,6 +186,7 @@
         reading_ms: DurationMs(reading_ms),
         queue_ms: DurationMs(queued_ms),
         unread_shared: Tokens(reread),
+        unread_again: Tokens(again),
         steps_from_home,
         weights: Some(weights),
         first_token_ms: DurationMs(first_token_ms),
--- a/core/tests/gateway/load.rs
+++ b/core/tests/gateway/load.rs
@@ -162,6 +162,23 @@
     assert_eq!(choice.unread, Tokens(2_890), "only its own part is read");
 }
 
+/// Pattern: new weights, for which nobody has read anything. Reading a part for the first time is
+/// no repetition, so it is read on an idle engine instead of in a queue.
+#[test]
+fn only_what_somebody_holds_is_read_again() {
+    let mut world = World::with_engines(2);
+    let prompt = long_prompt(1, 1);
+    let cold = world.choose(&prompt, NOW).expect("an engine");
+    assert_eq!(cold.unread_shared, Tokens(6_300));
+    assert_eq!(cold.unread_again, Tokens(0));
+    world.note_read(&prompt, cold.worker, None, NOW);
+    let others = [cold.worker];
+    let backend = world.backends.get_mut(cold.worker).expect("the home");
+    backend.note_unreachable(NOW);
+    let again = world.choose_for(&prompt, None, &others, NOW);
+    assert_eq!(again.expect("an engine").unread_again, Tokens(6_300));
+}
+
 /// Pattern: eviction. A store of kept cache is named as a source also where nothing seems to be
 /// lacking, and parts that it lacks are saved there.
 #[test]
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -366,6 +366,7 @@
         request = call.head.request_id, route = call.route.name, worker = %choice.worker,
         configuration = call.routing.version, weights = choice.weights.map(|weights| weights.0),
         fetch = ?choice.fetch, unread = choice.unread.0, unread_shared = choice.unread_shared.0,
+        unread_again = choice.unread_again.0,
         steps_from_home = choice.steps_from_home, queue_ms = choice.queue_ms.0,
         predicted_ms = choice.first_token_ms.0,
         occupancy = backend.map(|backend| backend.occupancy(now())),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -204,9 +204,8 @@
                     %worker, backend = spec.instance, service = spec.service, address = %spec.address,
                     is_ready = spec.is_ready, weights = spec.weights.first().map(|row| row.1.0), row_version = row.version, "backend server listed"
                 );
-                let restarted = self.backends.upsert(spec);
-                if restarted {
-                    tracing::info!(backend = row.key, "backend server has started anew");
+                if self.backends.upsert(spec) {
+                    tracing::info!(backend = row.key, "backend server has lost what it held");
                     self.cached.forget(worker);
                 }
                 true
@@ -376,14 +375,25 @@
             }
         }
         for worker in &rollout.done {
+            self.note_weights(*worker, &rollout.model, rollout.version);
             if let Some(backend) = self.backends.get_mut(*worker) {
-                backend.note_weights(&rollout.model, rollout.version);
                 backend.held_until_ms = TimeMs(0);
                 backend.loading_until_ms = TimeMs(0);
             }
         }
     }
 
+    /// Notes that an engine has at least this version of a model's weights. Newer ones discard what
+    /// it held for older ones. Gives back whether they are newer than was known.
+    pub fn note_weights(&mut self, worker: WorkerId, model: &str, version: WeightsVersion) -> bool {
+        let backend = self.backends.get_mut(worker);
+        let is_newer = backend.is_some_and(|backend| backend.note_weights(model, version));
+        if is_newer {
+            self.cached.forget(worker);
+        }
+        is_newer
+    }
+
     /// Takes over what another gateway has learnt about caches.
     pub fn note_parts(&mut self, parts: &[PartNote], now: TimeMs) {
         for note in parts {
--- a/src/gateway/weights.rs
+++ b/src/gateway/weights.rs
@@ -324,14 +324,10 @@
         }
     }?;
     let mut state = shared.state.borrow_mut();
-    if let Some(backend) = state.backends.get_mut(worker)
-        && backend.weights(model) < Some(told.weights)
-    {
-        // What it tells lags behind: it may still tell weights that it no longer has.
+    // What it tells lags behind: it may still tell weights that it no longer has.
+    if state.note_weights(worker, model, told.weights) {
         let version = told.weights.0;
         tracing::info!(backend = instance, version, "an engine has newer weights");
-        backend.note_weights(model, told.weights);
-        state.cached.forget(worker);
     }
     Some(told)
 }
--- /dev/null
+++ b/tests/gateway_state.rs
@@ -0,0 +1,158 @@
+//! What a gateway believes after what its peers tell.
+
+use {
+    cactusspur::gateway::{
+        GatewaySettings,
+        notice::{Notice, RolloutNotice},
+        state::State,
+    },
+    cactusspur_core::{
+        DurationMs, TimeMs, WeightsVersion, WorkerId,
+        gateway::{BackendSpec, BudgetTerms, HeldAs, Load, Pace, PartNote},
+    },
+    std::net::SocketAddr,
+    test_case::test_case,
+};
+
+const MODEL: &str = "model";
+const ENGINE: &str = "engine-1";
+/// A key of a part.
+const PART: u64 = 77;
+const NOW: TimeMs = TimeMs(1_000_000);
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn spec(weights: u64, born_ms: u64) -> BackendSpec {
+    BackendSpec {
+        instance: ENGINE.to_owned(),
+        born_ms,
+        service: "engines".to_owned(),
+        address: address(9_000),
+        domain: "north".to_owned(),
+        slots: 32,
+        is_ready: true,
+        weights: vec![(MODEL.to_owned(), WeightsVersion(weights))],
+    }
+}
+
+/// A gateway that has heard that an engine holds a part.
+fn state() -> State {
+    let settings = GatewaySettings {
+        name: "entry-1".to_owned(),
+        domain: "north".to_owned(),
+        callers_address: address(7_001),
+        readiness_address: address(7_002),
+        peers_address: address(7_003),
+        metrics_address: None,
+        seed_addresses: Vec::new(),
+        shared_key: "a key that is long enough for the tests".to_owned(),
+        budget: BudgetTerms {
+            ratio_milli: 200,
+            allowance: 50,
+            window_ms: 10_000,
+        },
+        old_weights_ms: DurationMs(10_000),
+        holder_pause_ms: DurationMs(3_300),
+        grace_ms: DurationMs(8_000),
+    };
+    let mut state = State::new(&settings);
+    state.backends.upsert(spec(1, 1));
+    state.note_notice(&holds(), NOW);
+    assert!(state.cached.holds(PART, engine(), NOW));
+    state
+}
+
+fn engine() -> WorkerId {
+    WorkerId::of(ENGINE)
+}
+
+fn holds() -> Notice {
+    Notice {
+        address: Some(address(7_013)),
+        parts: vec![PartNote {
+            part: PART,
+            worker: engine(),
+            held_as: HeldAs::Read,
+        }],
+        ..Notice::default()
+    }
+}
+
+fn done(version: u64) -> Notice {
+    Notice {
+        address: Some(address(7_013)),
+        rollout: Some(RolloutNotice {
+            model: MODEL.to_owned(),
+            version: WeightsVersion(version),
+            spared: Vec::new(),
+            loading: Vec::new(),
+            done: vec![engine()],
+        }),
+        ..Notice::default()
+    }
+}
+
+/// An engine discards what it holds as it loads weights. A gateway that only hears of it must not
+/// name it as a source of parts any more.
+#[test_case(2, false; "newer weights")]
+#[test_case(1, true; "the weights that it has")]
+fn an_engine_that_loaded_weights_holds_nothing(version: u64, expected: bool) {
+    let mut state = state();
+    state.note_notice(&done(version), NOW);
+    assert_eq!(state.cached.holds(PART, engine(), NOW), expected);
+    // Told again, it takes nothing from what has been read since.
+    state.note_notice(&holds(), NOW);
+    state.note_notice(&done(version), NOW);
+    assert!(state.cached.holds(PART, engine(), NOW));
+}
+
+#[test_case(2, 1, true; "newer weights")]
+#[test_case(1, 2, true; "another life")]
+#[test_case(1, 1, false; "no change")]
+fn an_entry_tells_whether_what_was_held_is_lost(weights: u64, born_ms: u64, expected: bool) {
+    let mut state = state();
+    assert_eq!(state.backends.upsert(spec(weights, born_ms)), expected);
+}
+
+/// The entry in the store is older than what the engine has answered.
+#[test]
+fn an_older_entry_takes_nothing_back() {
+    let mut state = state();
+    assert!(state.note_weights(engine(), MODEL, WeightsVersion(3)));
+    assert!(!state.backends.upsert(spec(2, 1)));
+    let backend = state.backends.get(engine()).expect("the engine");
+    assert_eq!(backend.weights(MODEL), Some(WeightsVersion(3)));
+}
+
+#[test]
+fn what_peers_send_and_hear_counts() {
+    let mut state = state();
+    let slow = Pace::sample(DurationMs(100), DurationMs(180)).expect("a sample");
+    let notice = Notice {
+        address: Some(address(7_013)),
+        sent: vec![(engine(), DurationMs(90)), (engine(), DurationMs(60))],
+        paces: vec![(engine(), slow)],
+        ..Notice::default()
+    };
+    state.note_notice(&notice, NOW);
+    let backend = state.backends.get(engine()).expect("the engine");
+    assert_eq!(backend.queue_ms(NOW), DurationMs(150));
+    assert_eq!(backend.queue_ms(NOW.after(DurationMs(100))), DurationMs(50));
+    assert_eq!(backend.occupancy(NOW), 2);
+    assert!(backend.pace > Pace::default());
+    let told = Notice {
+        loads: vec![(
+            engine(),
+            Load {
+                running: 5,
+                waiting: 1,
+            },
+        )],
+        ..notice
+    };
+    state.note_notice(&told, NOW);
+    let backend = state.backends.get(engine()).expect("the engine");
+    assert_eq!(backend.occupancy(NOW), 6);
+}
