Tell peers only news of parts, and read changes of a series together

Cause: each request told its parts twice, also when all had heard the same a moment ago; and each change of a row woke every watcher, though rollouts and restarts change rows in series.

--- a/core/src/gateway/cached.rs
+++ b/core/src/gateway/cached.rs
@@ -21,6 +21,9 @@
 /// How long a part is believed to stay in a store of kept KV cache: it is larger than an engine's
 /// memory and takes in only what it lacks.
 const KEPT_BELIEVED_MS: DurationMs = DurationMs(25_000);
+/// How long after a use was told to the other entry VMs the next one is not: a small part of the
+/// time for which a part is believed to stay.
+const TOLD_AGAIN_MS: DurationMs = DurationMs(2_500);
 /// Holders that are remembered for one part. More are not needed to find one that is idle.
 const MAX_HOLDERS: usize = 6;
 /// Parts that are remembered. Beyond these the ones that were not used for the longest time go.
@@ -94,6 +97,7 @@
 struct Holder {
     worker: WorkerId,
     used_at_ms: TimeMs,
+    told_at_ms: TimeMs,
     held_as: HeldAs,
 }
 
@@ -125,30 +129,52 @@
 }
 
 impl CachedParts {
-    /// Notes that a backend server holds a part, or will once it has read it.
+    /// Notes what another entry VM tells: that somebody holds a part, or is about to read it.
     pub fn note(&mut self, note: PartNote, now: TimeMs) {
+        let holder = self.holder(note, now);
+        holder.told_at_ms = now;
+    }
+
+    /// Notes what a request of this entry VM does. Gives back whether the others are to be told:
+    /// they are not when they have heard the same a moment ago.
+    pub fn note_own(&mut self, note: PartNote, now: TimeMs) -> bool {
+        let known = self.parts.get(&note.part).into_iter().flatten();
+        let mut known = known.filter(|holder| holder.worker == note.worker);
+        let is_news = !known.any(|holder| {
+            holder.held_as >= note.held_as && now.since(holder.told_at_ms) < TOLD_AGAIN_MS
+        });
+        let holder = self.holder(note, now);
+        if is_news {
+            holder.told_at_ms = now;
+        }
+        is_news
+    }
+
+    fn holder(&mut self, note: PartNote, now: TimeMs) -> &mut Holder {
         if self.parts.len() >= MAX_PARTS && !self.parts.contains(&note.part) {
             self.drop_oldest(now);
         }
         let holders = self.parts.get_or_insert_with(note.part, Vec::new);
         let known = holders
-            .iter_mut()
-            .find(|holder| holder.worker == note.worker);
-        if let Some(holder) = known {
-            holder.used_at_ms = now;
-            holder.held_as = holder.held_as.max(note.held_as);
-            return;
-        }
-
-        if holders.len() >= MAX_HOLDERS {
-            holders.sort_by_key(|holder| holder.used_at_ms);
-            holders.remove(0);
-        }
-        holders.push(Holder {
-            worker: note.worker,
-            used_at_ms: now,
-            held_as: note.held_as,
+            .iter()
+            .position(|holder| holder.worker == note.worker);
+        let at = known.unwrap_or_else(|| {
+            if holders.len() >= MAX_HOLDERS {
+                holders.sort_by_key(|holder| holder.used_at_ms);
+                holders.remove(0);
+            }
+            holders.push(Holder {
+                worker: note.worker,
+                used_at_ms: now,
+                told_at_ms: TimeMs(0),
+                held_as: note.held_as,
+            });
+            holders.len() - 1
         });
+        let holder = &mut holders[at];
+        holder.used_at_ms = now;
+        holder.held_as = holder.held_as.max(note.held_as);
+        holder
     }
 
     /// Forgets all that a backend server held.
--- a/core/tests/gateway/cached.rs
+++ b/core/tests/gateway/cached.rs
@@ -100,3 +100,41 @@
     assert!(cached.len() <= 6_000, "{}", cached.len());
     assert!(cached.holds(49_999, worker(0), TimeMs(50_000)));
 }
+
+/// The other entry VMs are told of a part when it is new, changes, or was told a while ago.
+#[test_case(HeldAs::Reading, 100, false; "told a moment ago")]
+#[test_case(HeldAs::Read, 100, true; "it has been read since")]
+#[test_case(HeldAs::Reading, 2_600, true; "told a while ago")]
+fn what_others_have_just_heard_is_not_told_again(held_as: HeldAs, age_ms: u64, expected: bool) {
+    let mut cached = CachedParts::default();
+    let note = PartNote {
+        part: 1,
+        worker: worker(0),
+        held_as: HeldAs::Reading,
+    };
+    assert!(cached.note_own(note, NOW), "it is new");
+    let now = NOW.after(DurationMs(age_ms));
+    let note = PartNote { held_as, ..note };
+    assert_eq!(cached.note_own(note, now), expected);
+    let other = PartNote {
+        worker: worker(1),
+        ..note
+    };
+    cached.note(other, now);
+    assert!(!cached.note_own(other, now), "another entry VM told it");
+}
+
+/// Uses that are not told count all the same.
+#[test]
+fn a_part_in_use_stays_believed() {
+    let mut cached = CachedParts::default();
+    let note = PartNote {
+        part: 1,
+        worker: worker(0),
+        held_as: HeldAs::Read,
+    };
+    for step in 0..20 {
+        cached.note_own(note, NOW.after(DurationMs(step * 1_000)));
+    }
+    assert!(cached.holds(1, worker(0), NOW.after(DurationMs(26_000))));
+}
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -271,8 +271,10 @@
                 })
             })
             .collect();
-        shared.state.borrow_mut().note_parts(&notes, now());
-        shared.peers.note_parts(shared, &notes);
+        let news = shared.state.borrow_mut().note_own_parts(notes, now());
+        if !news.is_empty() {
+            shared.peers.note_parts(shared, &news);
+        }
     }
 
     fn kept_store(&self, id: WorkerId) -> Option<&KeptStore> {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -401,6 +401,13 @@
         }
     }
 
+    /// Notes what a request of this gateway does. Gives back what the others are to be told.
+    pub fn note_own_parts(&mut self, parts: Vec<PartNote>, now: TimeMs) -> Vec<PartNote> {
+        let news = parts.into_iter();
+        news.filter(|note| self.cached.note_own(*note, now))
+            .collect()
+    }
+
     fn forget_backend(&mut self, worker: WorkerId) {
         self.backends.remove(worker);
         self.cached.forget(worker);
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -15,6 +15,9 @@
 /// How long the store may hold a poll. An answer that takes longer than that shows that the
 /// store, or the way to it, has gone silent.
 const POLL_MS: DurationMs = DurationMs(3_000);
+/// How long a watcher waits after something has changed before it asks again: changes come in
+/// series, and every call is paid for.
+const SERIES_WAIT: Duration = Duration::from_millis(250);
 /// Gateways of a failure domain that ask the store: one, and one in case it fails.
 const WATCHERS: usize = 2;
 /// How often a gateway that doesn't looks whether it should.
@@ -115,12 +118,15 @@
             continue;
         }
         match poll(&shared, store.as_ref(), table).await {
-            Ok(()) => {
+            Ok(has_changed) => {
                 shared.state.borrow_mut().note_store(now());
                 if failures > 0 {
                     tracing::info!(table, failures, "the store answers again");
                 }
                 failures = 0;
+                if has_changed {
+                    sleep(SERIES_WAIT).await;
+                }
             }
             Err(error) => {
                 if failures == 0 {
@@ -152,7 +158,8 @@
     rank(0, WorkerId::of(name))
 }
 
-async fn poll<S>(shared: &Rc<Shared>, store: &S, table: &str) -> Result<(), StoreError>
+/// Asks the store once. Gives back whether the table has changed.
+async fn poll<S>(shared: &Rc<Shared>, store: &S, table: &str) -> Result<bool, StoreError>
 where
     S: MetadataStore,
 {
@@ -160,10 +167,14 @@
     let Some(head) = known else {
         let whole = store.read_table(table).await?;
         replace(shared, whole);
-        return Ok(());
+        return Ok(false);
     };
     match store.changes(table, head, POLL_MS).await? {
-        Changes::Rows { rows, head } => merge(shared, table, rows, head),
+        Changes::Rows { rows, head } => {
+            let has_changed = !rows.is_empty();
+            merge(shared, table, rows, head);
+            Ok(has_changed)
+        }
         Changes::HistoryGone => {
             tracing::info!(
                 table,
@@ -172,9 +183,9 @@
             );
             let whole = store.read_table(table).await?;
             replace(shared, whole);
+            Ok(true)
         }
     }
-    Ok(())
 }
 
 fn merge(shared: &Rc<Shared>, table: &str, rows: Vec<StoredRow>, head: u64) {
