Let one peer pass notices on in each other failure domain

Cause: each of 58 gateways sent each notice to 57 others, two thirds of them in other failure domains, where bytes are paid for; the number of datagrams counts, not their length. Now one datagram goes to each other failure domain with three or more running peers, to a peer that is drawn anew each time, and that one passes it on. Small deployments are told as before.

--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -29,6 +29,17 @@
     pub rollout: Option<RolloutNotice>,
     /// What the sender is and knows, from time to time and when that has changed.
     pub standing: Option<Standing>,
+    /// Whether the receiver is to pass it on to the other gateways of its failure domain.
+    pub is_to_pass_on: bool,
+}
+
+/// Whom a notice goes to.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Receivers {
+    /// Peers for themselves.
+    pub direct: Vec<SocketAddr>,
+    /// Peers that pass it on in their failure domains.
+    pub passing_on: Vec<SocketAddr>,
 }
 
 /// What a gateway is and knows.
@@ -95,6 +106,9 @@
     store_heard_at_ms: Option<TimeMs>,
 }
 
+/// Running peers of another failure domain from which on one of them passes notices on to the
+/// others. With fewer it saves little, and each is one more that can fail on the way.
+const MIN_PASSING_ON: usize = 3;
 /// How long a peer counts as running after it was last heard.
 const RUNNING_MS: DurationMs = DurationMs(4_000);
 /// How long a peer is relied on to tell what the store does, after it was last heard. Shorter,
@@ -105,6 +119,11 @@
 const STORE_HEARD_MS: DurationMs = DurationMs(4_500);
 
 impl Peer {
+    fn runs(&self, now: TimeMs) -> bool {
+        let heard = self.heard_at_ms;
+        heard.is_some_and(|at| now.since(at) < RUNNING_MS) && !self.is_stopping
+    }
+
     fn note_standing(&mut self, standing: &Standing, now: TimeMs) {
         let store_age_ms = standing.store_age_ms;
         self.store_heard_at_ms = store_age_ms.map(|age| TimeMs(now.0.saturating_sub(age.0)));
@@ -156,13 +175,34 @@
         self.rows.iter().map(|peer| peer.address)
     }
 
+    /// Whom a notice goes to: the peers of this failure domain, and of each other one a peer that
+    /// passes it on. Bytes between failure domains are paid for. `draw` chooses another peer each
+    /// time, so that one that has failed unnoticed costs few notices.
+    #[must_use]
+    pub fn receivers(&self, own_domain: &str, draw: u64, now: TimeMs) -> Receivers {
+        let mut domains: Vec<&str> = self.rows.iter().map(|peer| peer.domain.as_str()).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        let mut receivers = Receivers::default();
+        for domain in domains {
+            let members = self.rows.iter().filter(|peer| peer.domain == domain);
+            let running: Vec<&Peer> = members.clone().filter(|peer| peer.runs(now)).collect();
+            let is_direct = domain.is_empty() || domain == own_domain;
+            if is_direct || running.len() < MIN_PASSING_ON {
+                receivers.direct.extend(members.map(|peer| peer.address));
+                continue;
+            }
+            let drawn = draw.checked_rem(running.len() as u64).unwrap_or_default();
+            let drawn = usize::try_from(drawn).unwrap_or_default();
+            receivers.passing_on.push(running[drawn].address);
+        }
+        receivers
+    }
+
     /// The names of peers that run.
     pub fn running(&self, now: TimeMs) -> impl Iterator<Item = &str> {
-        let heard = self.rows.iter().filter(move |peer| {
-            let heard = peer.heard_at_ms;
-            heard.is_some_and(|at| now.since(at) < RUNNING_MS) && !peer.is_stopping
-        });
-        heard.map(|peer| peer.name.as_str())
+        let running = self.rows.iter().filter(move |peer| peer.runs(now));
+        running.map(|peer| peer.name.as_str())
     }
 
     /// The addresses of peers in a failure domain.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,6 +1,7 @@
 //! What gateways tell each other and ask of each other.
 //!
-//! Notices go as datagrams: a lost one is made good by the next. A gateway that hears of a newer
+//! Notices go as datagrams: a lost one is made good by the next. To another failure domain one
+//! datagram goes, and whoever gets it passes it on there. A gateway that hears of a newer
 //! version of a table than it has, for longer than its own poll should take, pulls the tables
 //! from the peer that told it.
 
@@ -237,8 +238,7 @@
             sent: self.sent.take(),
             loads: self.loads.take(),
             paces: self.paces.take(),
-            rollout: None,
-            standing: None,
+            ..Notice::default()
         }
     }
 
@@ -257,11 +257,34 @@
     }
 
     fn send(&self, shared: &Shared, notice: Notice) {
-        let addresses: Vec<SocketAddr> = shared.state.borrow().peers.addresses().collect();
-        let own_place = addresses.partition_point(|address| *address < self.address);
-        let told = addresses.iter().cycle().skip(own_place);
-        let told = told.take(addresses.len().min(MAX_TOLD));
-        self.send_to(notice, told);
+        let own_domain = &shared.settings.domain;
+        let state = shared.state.borrow();
+        let receivers = state.peers.receivers(own_domain, rand::random(), now());
+        drop(state);
+        if !receivers.passing_on.is_empty() {
+            let notice = Notice {
+                is_to_pass_on: true,
+                ..notice.clone()
+            };
+            self.send_to(notice, receivers.passing_on.iter());
+        }
+        let own_place = receivers
+            .direct
+            .partition_point(|address| *address < self.address);
+        let told = receivers.direct.iter().cycle().skip(own_place);
+        self.send_to(notice, told.take(receivers.direct.len().min(MAX_TOLD)));
+    }
+
+    /// Passes a notice of another failure domain on in this one.
+    fn pass_on(&self, shared: &Shared, notice: &Notice) {
+        let notice = Notice {
+            is_to_pass_on: false,
+            ..notice.clone()
+        };
+        let state = shared.state.borrow();
+        let near: Vec<SocketAddr> = state.peers.addresses_in(&shared.settings.domain).collect();
+        drop(state);
+        self.send_to(notice, near.iter());
     }
 
     /// Tells the peers of this failure domain that a table has changed. They pull what is new, so
@@ -385,6 +408,9 @@
     let Some(address) = notice.address else {
         return;
     };
+    if notice.is_to_pass_on {
+        shared.peers.pass_on(shared, notice);
+    }
     let now = now();
     let mut state = shared.state.borrow_mut();
     let standing = notice.standing.as_ref();
