--- a/core/src/gateway/budget.rs
+++ b/core/src/gateway/budget.rs
@@ -63,6 +63,12 @@
         true
     }
 
+    /// The repeats that are left for each service.
+    pub fn left(&self) -> impl Iterator<Item = (String, u64)> {
+        let balances = self.balances.iter();
+        balances.map(|(service, balance)| (service.clone(), balance.milli_sends / MILLI))
+    }
+
     fn most_milli(&self, entry_vms: usize) -> u64 {
         let vms = entry_vms.max(1) as u64;
         self.terms.allowance * MILLI * ALLOWANCE_SPENT_PERCENT / 100 / vms
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,6 +19,7 @@
 pub mod replica;
 pub mod server;
 pub mod state;
+pub mod status;
 pub mod store;
 pub mod watch;
 pub mod weights;
--- a/src/gateway/kept.rs
+++ b/src/gateway/kept.rs
@@ -122,9 +122,7 @@
     let mut since = 0;
     while listed(&shared).contains(&store) {
         let is_watcher = is_watcher(&shared, store.id);
-        let mut state = shared.state.borrow_mut();
-        state.kept.set_watched(store.address, is_watcher);
-        drop(state);
+        set_watched(&shared, &store, is_watcher);
         if !is_watcher {
             sleep(LOOK_PERIOD).await;
             continue;
@@ -139,6 +137,11 @@
     }
 }
 
+fn set_watched(shared: &Shared, store: &KeptStore, is_watched: bool) {
+    let kept = &mut shared.state.borrow_mut().kept;
+    kept.set_watched(store.address, is_watched);
+}
+
 /// Whether this gateway is one of the first in an order on which all agree.
 fn is_watcher(shared: &Shared, store: WorkerId) -> bool {
     let rank_of = |name: &str| rank(store.0, WorkerId::of(name));
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -312,7 +312,7 @@
     where
         A: Iterator<Item = &'a SocketAddr>,
     {
-        let ask = self.envelope(Ask::Notice(notice));
+        let ask = self.envelope(Ask::Notice(Box::new(notice)));
         let sealed: Bytes = match SealedAsk::seal(&self.key, &ask) {
             Ok(sealed) => sealed.into(),
             Err(error) => {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,7 +1,7 @@
 //! Takes callers' connections and questions for readiness in.
 
 use {
-    super::{GatewayError, Shared, answer, clock::now, forward, link},
+    super::{GatewayError, Shared, answer, forward, link, status::GatewayStatus},
     crate::telemetry::open_metrics,
     error_stack::{Report, ResultExt},
     http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header},
@@ -168,7 +168,7 @@
     let shared = Rc::clone(shared);
     ntex::rt::spawn(answer_all(listener, move |path| {
         let body = match path {
-            "/status" => shared.state.borrow().status(now()).to_string(),
+            "/status" => status_text(&shared),
             _ => recorder
                 .as_ref()
                 .map_or(String::new(), PrometheusHandle::render),
@@ -178,6 +178,16 @@
     Ok(())
 }
 
+fn status_text(shared: &Shared) -> String {
+    match serde_json::to_string(&GatewayStatus::of(shared)) {
+        Ok(text) => text,
+        Err(error) => {
+            tracing::error!(%error, "the status can't be written");
+            String::new()
+        }
+    }
+}
+
 /// Answers each request on a listener by its path.
 async fn answer_all<F>(listener: TcpListener, answer: F)
 where
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,7 +13,6 @@
         DurationMs, Table, TimeMs, WeightsVersion, WorkerId,
         gateway::{BackendTable, CachedParts, NamedWeights, PartNote, RetryBudget, RoutingTable},
     },
-    serde_json::{Value, json},
     std::rc::Rc,
 };
 
@@ -109,43 +108,6 @@
         self.budget.withdraw(service, self.peers.sharing(), now)
     }
 
-    /// What it believes, for operators.
-    #[must_use]
-    pub fn status(&self, now: TimeMs) -> Value {
-        let backends = self.backends.iter().map(|(_, backend)| {
-            json!({
-                "instance": backend.spec.instance,
-                "service": backend.spec.service,
-                "address": backend.spec.address,
-                "is_ready": backend.spec.is_ready,
-                "takes_requests": backend.takes_requests(now),
-                "weights": backend.spec.weights,
-                "in_flight": backend.in_flight,
-                "occupancy": backend.occupancy(now),
-                "failure_permille": backend.failure_share(now),
-            })
-        });
-        json!({
-            "configuration": self.routing.as_ref().map(|routing| routing.version),
-            "tables": self.replica.heads(),
-            "store_age_ms": self.store_age_ms(now),
-            "peers": self.peers.running(now).collect::<Vec<_>>(),
-            "weights": self.weights_notices(now),
-            "kept_stores": self.kept_status(),
-            "cached_parts": self.cached.len(),
-            "backends": backends.collect::<Vec<_>>(),
-        })
-    }
-
-    fn kept_status(&self) -> Vec<Value> {
-        let routing = self.routing.iter();
-        let stores = routing.flat_map(|routing| routing.kept_stores());
-        let status = stores.map(
-            |store| json!({"address": store.address, "answers": self.kept.answers(store.address)}),
-        );
-        status.collect()
-    }
-
     /// Notes that the store answered.
     pub fn note_store(&mut self, now: TimeMs) {
         self.store_heard_at_ms = Some(now);
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -5,6 +5,7 @@
 mod check;
 mod diff;
 mod entry_client;
+mod gateway;
 mod key_hash;
 mod output;
 mod status;
@@ -65,6 +66,9 @@
     /// Shows the state of the entry VMs.
     #[command(after_help = "Example:\n  cactusspur status --entry 10.0.0.11:8082")]
     Status(StatusArguments),
+    /// Shows what gateways before another platform's backend servers believe.
+    #[command(after_help = "Example:\n  cactusspur gateway --metrics 10.1.0.30:9464")]
+    Gateway(GatewayArguments),
     /// Shows what happened on all entry VMs, in an order that respects causes.
     #[command(after_help = "Examples:\n  \
         cactusspur timeline --entry 10.0.0.11:8082 --class stone-hold\n  \
@@ -129,6 +133,14 @@
     pub only: bool,
 }
 
+/// The arguments of `gateway`.
+#[derive(Debug, Args)]
+pub struct GatewayArguments {
+    /// The metrics address of a gateway; may be given several times.
+    #[arg(long, value_name = "IP:PORT", required = true)]
+    pub metrics: Vec<SocketAddr>,
+}
+
 /// The arguments of `timeline`.
 #[derive(Debug, Args)]
 pub struct TimelineArguments {
@@ -165,6 +177,7 @@
         Command::Diff(arguments) => diff::run(&arguments, format, out).await,
         Command::Apply(arguments) => apply::run(&arguments, format, out).await,
         Command::Status(arguments) => status::run(&arguments, format, out).await,
+        Command::Gateway(arguments) => gateway::run(&arguments, format, out).await,
         Command::Timeline(arguments) => timeline::run(&arguments, format, out).await,
         Command::KeyHash => key_hash::run(&mut io::stdin(), format, out),
         Command::Completions { shell } => {
--- /dev/null
+++ b/src/operator/gateway.rs
@@ -0,0 +1,108 @@
+//! `cactusspur gateway`.
+
+use {
+    super::{ExitStatus, Failure, GatewayArguments, OutputFormat, entry_client::ask_all},
+    crate::gateway::status::{BackendStatus, GatewayStatus},
+    serde::Serialize,
+    std::{io, iter, net::SocketAddr},
+};
+
+#[derive(Serialize)]
+struct Answer {
+    address: SocketAddr,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    status: Option<GatewayStatus>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    error: Option<String>,
+}
+
+pub(super) async fn run<W>(
+    arguments: &GatewayArguments,
+    format: OutputFormat,
+    out: &mut W,
+) -> Result<ExitStatus, Failure>
+where
+    W: io::Write,
+{
+    let asked = ask_all::<GatewayStatus>(&arguments.metrics, "/status").await;
+    let answers: Vec<Answer> = asked
+        .into_iter()
+        .map(|(address, asked)| match asked {
+            Ok(status) => Answer {
+                address,
+                status: Some(status),
+                error: None,
+            },
+            Err(failure) => Answer {
+                address,
+                status: None,
+                error: Some(failure.to_string()),
+            },
+        })
+        .collect();
+    format.print(out, &answers, |answers| {
+        answers.iter().flat_map(describe).collect()
+    })?;
+    if answers.iter().any(|answer| answer.status.is_none()) {
+        return Ok(ExitStatus::Unreachable);
+    }
+    Ok(ExitStatus::Done)
+}
+
+fn describe(answer: &Answer) -> Vec<String> {
+    let Some(status) = &answer.status else {
+        return vec![format!("{} does not answer", answer.address)];
+    };
+    let number = |known: Option<u64>| known.map_or("none".to_owned(), |value| value.to_string());
+    let store = status.store_age_ms.map_or_else(
+        || "has not answered this gateway".to_owned(),
+        |age| format!("answered {} ms ago", age.0),
+    );
+    let state = match (status.is_stopping, status.is_rolling_out) {
+        (true, _) => "shutting down",
+        (false, true) => "rolling weights out",
+        (false, false) => "serving",
+    };
+    let mut lines = vec![
+        format!("{} in {}: {state}", status.name, status.domain),
+        format!("  configuration  {}", number(status.configuration)),
+        format!("  store          {store}"),
+        format!("  peers          {}", status.peers.join(", ")),
+        format!("  cached parts   {}", status.cached_parts),
+    ];
+    lines.extend(status.weights.iter().map(|named| {
+        let (model, version, age) = (&named.model, named.version.0, named.age_ms.0);
+        format!("  weights        {model} {version}, named {age} ms ago")
+    }));
+    lines.extend(status.kept_stores.iter().map(|store| {
+        let answers = if store.answers { "answers" } else { "silent" };
+        format!("  kept cache     {} {answers}", store.address)
+    }));
+    let repeats = status.repeats_left.iter();
+    lines.extend(repeats.map(|(service, left)| format!("  repeats left   {service} {left}")));
+    lines.extend(iter::once(format!(
+        "  {:<16} {:<10} {:<21} {:>7} {:>9} {:>8} {:>8}  STATE",
+        "SERVER", "SERVICE", "ADDRESS", "WEIGHTS", "REQUESTS", "QUEUE MS", "FAILING"
+    )));
+    lines.extend(status.backends.iter().map(describe_backend));
+    lines
+}
+
+fn describe_backend(backend: &BackendStatus) -> String {
+    let weights = backend.weights.first().map(|row| row.1.0.to_string());
+    let state = match (backend.is_ready, backend.takes_requests) {
+        (false, _) => "leaving",
+        (true, false) => "left out",
+        (true, true) => "in use",
+    };
+    format!(
+        "  {:<16} {:<10} {:<21} {:>7} {:>9} {:>8} {:>7}%  {state}",
+        backend.instance,
+        backend.service,
+        backend.address,
+        weights.unwrap_or_default(),
+        backend.occupancy,
+        backend.queue_ms.0,
+        backend.failure_permille / 10,
+    )
+}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -90,7 +90,7 @@
     /// Asks for the newest known list of VMs.
     Vms,
     /// Tells what a gateway has learnt. Sent as a datagram, not answered.
-    Notice(Notice),
+    Notice(Box<Notice>),
     /// Asks a gateway for what has changed in its copies of tables of the platform's store.
     PullTables {
         /// The versions of the store up to which the sender knows each table.
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -176,6 +176,7 @@
 #[test_case(&["diff", "examples/trust.yaml", "--platform", "127.0.0.1:1"], 5)]
 #[test_case(&["apply", "examples/trust.yaml", "--platform", "127.0.0.1:1"], 5)]
 #[test_case(&["status", "--entry", "127.0.0.1:1"], 5)]
+#[test_case(&["gateway", "--metrics", "127.0.0.1:1"], 5)]
 #[test_case(&["completions", "bash"], 0)]
 #[test_case(&["apply", "--help"], 0)]
 fn ends_with(arguments: &[&str], code: i32) {
