--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -82,6 +82,8 @@
     pub tried: &'a [WorkerId],
     /// The only server that may be chosen, if there is just one.
     pub only: Option<WorkerId>,
+    /// Requests of this entry VM that one server may have in progress: each takes a connection.
+    pub max_in_flight: u64,
     /// Now.
     pub now: TimeMs,
 }
@@ -209,21 +211,24 @@
         backend.is_some_and(|backend| backend.is_reachable(self.now))
     }
 
-    /// The servers of a service that may be tried. One that could not be reached lately is tried
+    /// The servers of a service that may be tried and have a connection left. One that could not be reached lately is tried
     /// only when there is no other.
-    fn usable(&self, service: &'a str) -> impl Iterator<Item = (WorkerId, &'a Backend)> {
-        let untried = |row: &(WorkerId, &Backend)| !self.tried.contains(&row.0);
+    fn usable(&'a self, service: &'a str) -> impl Iterator<Item = (WorkerId, &'a Backend)> {
+        let max_in_flight = self.max_in_flight;
+        let untried = move |row: &(WorkerId, &Backend)| {
+            !self.tried.contains(&row.0) && row.1.in_flight < max_in_flight
+        };
         let now = self.now;
         let any_reachable = self
             .backends
             .ready(service)
             .filter(untried)
             .any(|row| row.1.takes_requests(now));
-        let tried = self.tried;
         let only = self.only;
         self.backends
             .ready(service)
-            .filter(move |row| !tried.contains(&row.0) && only.is_none_or(|only| only == row.0))
+            .filter(untried)
+            .filter(move |row| only.is_none_or(|only| only == row.0))
             .filter(move |row| !any_reachable || row.1.takes_requests(now))
     }
 
--- a/core/src/gateway/routing.rs
+++ b/core/src/gateway/routing.rs
@@ -101,6 +101,16 @@
     pub kept_store: Option<KeptStore>,
 }
 
+impl ServiceSpec {
+    /// The requests that one of the entry VMs may have in progress at one backend server, so that
+    /// all together open no more connections than it accepts.
+    #[must_use]
+    pub fn max_in_flight(&self, entry_vms: usize) -> u64 {
+        let share = self.max_connections / entry_vms.max(1);
+        share.max(1) as u64
+    }
+}
+
 /// A store of kept KV cache.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeptStore {
--- a/core/tests/gateway/fixture.rs
+++ b/core/tests/gateway/fixture.rs
@@ -107,6 +107,7 @@
     pub cached: CachedParts,
     pub named: Vec<NamedWeights>,
     pub kept_stores: Vec<KeptStore>,
+    pub max_in_flight: Option<u64>,
     pub writing: u64,
     pub draw: u64,
 }
@@ -183,6 +184,7 @@
             domain: DOMAIN,
             tried,
             only: None,
+            max_in_flight: self.max_in_flight.unwrap_or(u64::MAX),
             now,
         }
     }
--- a/core/tests/gateway/load.rs
+++ b/core/tests/gateway/load.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::fixture::{
-        DOMAIN, ENGINES, NOW, World, kept_store, long_prompt, short_prompt, spec, worker,
+        DOMAIN, ENGINES, NOW, World, kept_store, long_prompt, service, short_prompt, spec, worker,
     },
     cactusspur_core::{
         DurationMs, Tokens, WorkerId,
@@ -116,6 +116,34 @@
     assert_eq!(backend.occupancy(NOW.after(DurationMs(age_ms))), expected);
 }
 
+/// Pattern: a burst at a service whose servers accept few connections. What goes beyond an entry
+/// VM's share is refused here at once; there it would be reset, and might have run.
+#[test]
+fn a_burst_keeps_to_the_connections_that_servers_accept() {
+    let mut world = World::with_plain(3, 6);
+    world.max_in_flight = Some(16);
+    let mut sent = 0;
+    while let Some(choice) = world.choose_plain(sent, NOW) {
+        world.note_sent(&choice, NOW);
+        sent += 1;
+    }
+    assert_eq!(sent, 48);
+    let backend = world.backends.get_mut(worker(1)).expect("a server");
+    backend.note_ended();
+    assert_eq!(
+        world.choose_plain(0, NOW).map(|c| c.worker),
+        Some(worker(1))
+    );
+}
+
+/// All entry VMs together stay within the limit, and each may send something.
+#[test_case(6, 60; "a small deployment")]
+#[test_case(58, 6; "a large one")]
+#[test_case(1_000, 1; "more entry VMs than connections")]
+fn entry_vms_share_the_connections(entry_vms: usize, expected: u64) {
+    assert_eq!(service().max_in_flight(entry_vms), expected);
+}
+
 /// Pattern: capacity that crashed. Engines that can't be reached are left out at once, and what
 /// they held is fetched from others or read elsewhere.
 #[test]
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -160,7 +160,11 @@
         only: Option<WorkerId>,
     ) -> Option<Choice> {
         let state = shared.state.borrow();
+        let service = self.routing.service(&self.service);
         let around = Surroundings {
+            max_in_flight: service.map_or(u64::MAX, |service| {
+                service.max_in_flight(state.peers.sharing())
+            }),
             backends: &state.backends,
             cached: &state.cached,
             domain: &shared.settings.domain,
@@ -168,7 +172,6 @@
             only,
             now: now(),
         };
-        let service = self.routing.service(&self.service);
         match (&self.head.prompt, service) {
             (Some(prompt), Some(service)) if !prompt.parts.is_empty() => {
                 let named = state.weights.get(&prompt.model);
