Charge older weights what they cost

Cause: answers on older weights lose a fifth of their worth; the choice charged twice as much, so that during each rollout all requests crowded on the few engines that had the new weights, whose caches were cold, while engines with older weights and warm caches idled.

--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -40,7 +40,7 @@
 /// How long answers on the weights before the newest are still worth as much.
 const OLD_WEIGHTS_FREE_MS: DurationMs = DurationMs(1_300);
 /// The cost of older weights after that, in milliseconds: a fifth of the answer's worth is lost.
-const OLD_WEIGHTS_MS: u64 = 150;
+const OLD_WEIGHTS_MS: u64 = 75;
 /// The time before older weights are no longer permitted in which none is used any more: what a
 /// request may take on the way and in the engine's queue.
 const OLD_WEIGHTS_MARGIN_MS: DurationMs = DurationMs(1_500);
