Let counts of sends fade by themselves where no load is told

Their stand-ins tell no load, and each send renewed the whole estimate, so that it grew for ever under steady sends; servers of some services tell none. Now what peers sent fades by itself, and counts only where no load was told within a second.

--- a/core/src/gateway/backend.rs
+++ b/core/src/gateway/backend.rs
@@ -11,9 +11,11 @@
     std::net::SocketAddr,
 };
 
-/// How long an estimate of the requests at a backend server counts in full: about as long as an
-/// answer takes. After each further such time it counts half as much.
+/// How long a load that a backend server told counts in full, and the time in which older counts of
+/// requests halve: about as long as an answer takes.
 const LOAD_BELIEVED_MS: DurationMs = DurationMs(1_000);
+/// Thousandths of a request, in which counts that fade are kept.
+const MILLI: u64 = 1_000;
 /// The time in which the memory of failures halves: a few of the shortest outages that matter.
 const FAILURE_HALF_LIFE_MS: DurationMs = DurationMs(2_000);
 /// The weight of the newest result among earlier ones, in percent.
@@ -71,9 +73,11 @@
     pub loading_until_ms: TimeMs,
     queued_ms: DurationMs,
     queued_at_ms: TimeMs,
+    load: Load,
     load_at_ms: TimeMs,
-    estimate: u64,
-    estimated_at_ms: TimeMs,
+    sent_since_load: u64,
+    peers_milli: u64,
+    peers_at_ms: TimeMs,
     failures: u64,
     failures_at_ms: TimeMs,
     unreachable_until_ms: TimeMs,
@@ -91,9 +95,11 @@
             loading_until_ms: TimeMs(0),
             queued_ms: DurationMs(0),
             queued_at_ms: TimeMs(0),
+            load: Load::default(),
             load_at_ms: TimeMs(0),
-            estimate: 0,
-            estimated_at_ms: TimeMs(0),
+            sent_since_load: 0,
+            peers_milli: 0,
+            peers_at_ms: TimeMs(0),
             failures: 0,
             failures_at_ms: TimeMs(0),
             unreachable_until_ms: TimeMs(0),
@@ -121,7 +127,8 @@
 
     /// Notes a request that is being sent. `reading_ms` is what its prompt takes to be read.
     pub fn note_sent(&mut self, reading_ms: DurationMs, now: TimeMs) {
-        self.note_sent_by_peer(reading_ms, now);
+        self.note_queued(reading_ms, now);
+        self.sent_since_load += 1;
         self.in_flight += 1;
         self.own_reading_ms += reading_ms;
     }
@@ -129,8 +136,9 @@
     /// Notes a request that another entry VM has sent.
     pub fn note_sent_by_peer(&mut self, reading_ms: DurationMs, now: TimeMs) {
         self.note_queued(reading_ms, now);
-        self.estimate = self.faded(now) + 1;
-        self.estimated_at_ms = now;
+        self.sent_since_load += 1;
+        self.peers_milli = faded(self.peers_milli, now.since(self.peers_at_ms)) + MILLI;
+        self.peers_at_ms = now;
     }
 
     /// Notes prompts to read that any entry VM has sent.
@@ -160,9 +168,9 @@
 
     /// Notes the load that came with an answer, here or at another entry VM.
     pub fn note_load(&mut self, load: Load, now: TimeMs) {
+        self.load = load;
         self.load_at_ms = now;
-        self.estimate = load.running + load.waiting;
-        self.estimated_at_ms = now;
+        self.sent_since_load = 0;
     }
 
     /// Notes whether it did what it was asked to.
@@ -211,16 +219,26 @@
     }
 
     /// The requests that are probably there: what it told last and what all entry VMs have sent
-    /// since, or this entry VM's own, whichever is more.
+    /// since. Of a server that has told nothing lately, this entry VM's own and what the others have
+    /// sent in about the time that an answer takes.
     #[must_use]
     pub fn occupancy(&self, now: TimeMs) -> u64 {
-        self.faded(now).max(self.in_flight)
+        let age_ms = now.since(self.load_at_ms);
+        let told = self.load.running + self.load.waiting + self.sent_since_load;
+        if age_ms < LOAD_BELIEVED_MS {
+            return told.max(self.in_flight);
+        }
+        let told = faded(told * MILLI, age_ms.saturating_sub(LOAD_BELIEVED_MS)) / MILLI;
+        let others = faded(self.peers_milli, now.since(self.peers_at_ms)) / MILLI;
+        told.max(self.in_flight + others)
     }
+}
 
-    fn faded(&self, now: TimeMs) -> u64 {
-        let halvings = now.since(self.estimated_at_ms).0 / LOAD_BELIEVED_MS.0;
-        self.estimate >> halvings.min(63)
-    }
+/// What is left of a count that halves in each [`LOAD_BELIEVED_MS`].
+fn faded(milli: u64, age_ms: DurationMs) -> u64 {
+    let halvings = age_ms.0 / LOAD_BELIEVED_MS.0;
+    let rest_ms = age_ms.0 % LOAD_BELIEVED_MS.0;
+    (milli >> halvings.min(63)) * (2 * LOAD_BELIEVED_MS.0 - rest_ms) / (2 * LOAD_BELIEVED_MS.0)
 }
 
 /// All backend servers.
