Say the keys of shared parts in one place, and look for a store to save to once a choice is made

From reading the whole change once more; no decision changes: - The keys of a prompt's shared parts were built in two ways in the code and a third time in the tests; shared_keys is the one place. - Which store saves the parts was looked up for each engine of a service, though only the chosen one needs it. - BackendTable::upsert compared versions by hand on a copy of the list; it asks Backend::weights. - Peers that are told directly are in the order of addresses again, which the place to begin from rests on; with failure domains one after the other they were not. That matters only beyond 64. - A notice that goes to nobody is not sealed; InFlight names its server once.

--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -16,7 +16,7 @@
 pub use {
     backend::{Backend, BackendSpec, BackendTable, Load},
     budget::{BudgetTerms, RetryBudget},
-    cached::{CacheScope, CachedParts, HeldAs, PartNote, PromptPart, chain_of, rank, scoped},
+    cached::{CacheScope, CachedParts, HeldAs, PartNote, PromptPart, chain_of, rank, shared_keys},
     choice::{Choice, Fetch, ModelCall, NamedWeights, Surroundings, choose_model, choose_plain},
     pace::Pace,
     rollout::{OrderState, Rollout, RolloutEngine, RolloutStep},
--- a/core/src/gateway/backend.rs
+++ b/core/src/gateway/backend.rs
@@ -256,7 +256,10 @@
             self.rows.insert(id, Backend::new(spec));
             return false;
         };
-        let told = spec.weights.clone();
+        let has_newer_weights = spec.weights.iter().any(|(model, version)| {
+            let known = backend.weights(model);
+            known.is_some_and(|known| known < *version)
+        });
         let known = std::mem::replace(&mut backend.spec, spec);
         if known.born_ms != backend.spec.born_ms {
             return true;
@@ -265,11 +268,7 @@
         for (model, version) in &known.weights {
             backend.note_weights(model, *version);
         }
-        let newer = |row: &(String, WeightsVersion)| {
-            let earlier = known.weights.iter().find(|known| known.0 == row.0);
-            earlier.is_some_and(|earlier| earlier.1 < row.1)
-        };
-        told.iter().any(newer)
+        has_newer_weights
     }
 
     /// Takes a server out of use.
--- a/core/src/gateway/cached.rs
+++ b/core/src/gateway/cached.rs
@@ -68,11 +68,17 @@
 }
 
 /// A key of a part that is the same in all entry VMs.
-#[must_use]
-pub fn scoped(scope: CacheScope, link: u64) -> u64 {
+fn scoped(scope: CacheScope, link: u64) -> u64 {
     xxh3_64_with_seed(&link.to_le_bytes(), scope.0)
 }
 
+/// The keys of the parts of a prompt that others may share: all but the last one, which is the
+/// request's own. `chain` is [`chain_of`] the parts.
+pub fn shared_keys(scope: CacheScope, chain: &[u64]) -> impl Iterator<Item = u64> {
+    let shared = chain.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(move |link| scoped(scope, *link))
+}
+
 /// Ranks a backend server for a key, in the same way in every entry VM. The highest is the home.
 #[must_use]
 pub fn rank(key: u64, worker: WorkerId) -> u64 {
@@ -114,7 +120,7 @@
 /// A note that a backend server has read a part, or is about to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartNote {
-    /// The part, by [`scoped`].
+    /// The part, one of [`shared_keys`].
     pub part: u64,
     /// Who holds it.
     pub worker: WorkerId,
--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -4,7 +4,7 @@
     super::{
         backend::{ALWAYS_FAILS, Backend, BackendTable},
         cached::{CachedParts, PromptPart, rank},
-        prediction::{Candidate, is_permitted, predict},
+        prediction::{Candidate, is_permitted, predict, saved_to},
         routing::{KeptStore, ServiceSpec},
     },
     crate::{
@@ -190,10 +190,13 @@
         });
     }
     let predictions = engines.iter().enumerate();
-    predictions
+    let (_, choice) = predictions
         .map(|(steps, engine)| predict(around, service, call, engine, steps as u64))
-        .min_by_key(|(cost, _)| *cost)
-        .map(|(_, choice)| choice)
+        .min_by_key(|(cost, _)| *cost)?;
+    Some(Choice {
+        saves: saved_to(around, call, &choice),
+        ..choice
+    })
 }
 
 impl ModelCall<'_> {
@@ -211,8 +214,8 @@
         backend.is_some_and(|backend| backend.is_reachable(self.now))
     }
 
-    /// The servers of a service that may be tried and have a connection left. One that could not be reached lately is tried
-    /// only when there is no other.
+    /// The servers of a service that may be tried and have a connection left. One that could not be
+    /// reached lately is tried only when there is no other.
     fn usable(&'a self, service: &'a str) -> impl Iterator<Item = (WorkerId, &'a Backend)> {
         let max_in_flight = self.max_in_flight;
         let untried = move |row: &(WorkerId, &Backend)| {
--- a/core/src/gateway/pace.rs
+++ b/core/src/gateway/pace.rs
@@ -3,6 +3,7 @@
 use {
     crate::unit::{DurationMs, Tokens},
     serde::{Deserialize, Serialize},
+    std::ops::RangeInclusive,
 };
 
 /// Prompt tokens that a nominal engine reads in a millisecond. Of the deployments' sheets.
@@ -24,7 +25,7 @@
 const MIN_SAMPLE_MS: DurationMs = DurationMs(40);
 /// Samples outside of these bounds, in percent, tell of something else than the engine's speed: a
 /// prompt that was cached, or others that were in the way. Engines of one service differ by a third.
-const PLAUSIBLE_PERCENT: std::ops::RangeInclusive<u64> = 70..=140;
+const PLAUSIBLE_PERCENT: RangeInclusive<u64> = 70..=140;
 
 /// The time that a nominal engine takes to read `new` tokens behind `cached` ones.
 #[must_use]
--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         backend::Backend,
-        cached::{CacheScope, PromptPart, rank, scoped},
+        cached::{CacheScope, PromptPart, rank, shared_keys},
         choice::{Choice, Fetch, ModelCall, NamedWeights, Surroundings},
         pace::nominal_ms,
         routing::{KeptStore, ServiceSpec},
@@ -100,6 +100,13 @@
     }
 }
 
+impl ModelCall<'_> {
+    fn shared_keys(&self, weights: WeightsVersion) -> Vec<u64> {
+        let scope = CacheScope::of(self.model, weights, self.wall);
+        shared_keys(scope, self.chain).collect()
+    }
+}
+
 /// What a request would cost at an engine, and how it would be sent there.
 pub(super) fn predict(
     around: &Surroundings<'_>,
@@ -114,12 +121,8 @@
         weights,
         is_writer,
     } = *engine;
-    let scope = CacheScope::of(call.model, weights, call.wall);
-    let shared = call.parts.len().saturating_sub(1);
-    let keys: Vec<u64> = call.chain[..shared]
-        .iter()
-        .map(|link| scoped(scope, *link))
-        .collect();
+    let keys = call.shared_keys(weights);
+    let shared = keys.len();
     let held = around.cached.depth(&keys, worker, around.now);
     let source = best_source(around, &keys, engine, held, call.kept_stores);
     let fetched = source.map_or(held, |(_, depth)| depth.max(held));
@@ -184,7 +187,8 @@
         worker,
         fetch: source.map(|(source, _)| source),
         mostly_writes: call.mostly_writes(),
-        saves: saved_to(around, &keys, engine, call.kept_stores),
+        // Looked up for the engine that is chosen, by `saved_to`.
+        saves: None,
         unread: Tokens(own + reread),
         nominal_ms: nominal,
         reading_ms: DurationMs(reading_ms),
@@ -239,23 +243,21 @@
 }
 
 /// The store of kept KV cache that is to save the shared parts: none if one has them all, or else
-/// one in the engine's failure domain.
-fn saved_to(
+/// one in the chosen engine's failure domain.
+pub(super) fn saved_to(
     around: &Surroundings<'_>,
-    keys: &[u64],
-    engine: &Candidate<'_>,
-    stores: &[&KeptStore],
+    call: &ModelCall<'_>,
+    choice: &Choice,
 ) -> Option<WorkerId> {
+    let keys = call.shared_keys(choice.weights?);
     let last = *keys.last()?;
-    let has_all =
-        |store: &&&KeptStore| around.cached.read_depth(keys, store.id, around.now) == keys.len();
-    if stores.iter().any(|store| has_all(&store)) {
+    let domain = &around.backends.get(choice.worker)?.spec.domain;
+    let stores = call.kept_stores.iter();
+    let depth = |store: WorkerId| around.cached.read_depth(&keys, store, around.now);
+    if stores.clone().any(|store| depth(store.id) == keys.len()) {
         return None;
     }
-    let near = |store: &KeptStore| store.domain == engine.backend.spec.domain;
-    let best = stores
-        .iter()
-        .max_by_key(|store| (near(store), rank(last, store.id)));
+    let best = stores.max_by_key(|store| (store.domain == *domain, rank(last, store.id)));
     best.map(|store| store.id)
 }
 
--- a/core/tests/gateway/fixture.rs
+++ b/core/tests/gateway/fixture.rs
@@ -4,9 +4,9 @@
     cactusspur_core::{
         DurationMs, TimeMs, Tokens, WeightsVersion, WorkerId,
         gateway::{
-            BackendSpec, BackendTable, CacheScope, CachedParts, Choice, HeldAs, KeptStore, Load,
-            ModelCall, NamedWeights, PartNote, PromptPart, ServiceSpec, Surroundings, chain_of,
-            choose_model, choose_plain, scoped,
+            self, BackendSpec, BackendTable, CacheScope, CachedParts, Choice, HeldAs, KeptStore,
+            Load, ModelCall, NamedWeights, PartNote, PromptPart, ServiceSpec, Surroundings,
+            chain_of, choose_model, choose_plain,
         },
     },
     std::net::SocketAddr,
@@ -230,8 +230,5 @@
 pub fn shared_keys(prompt: &Prompt, weights: u64, wall: Option<&str>) -> Vec<u64> {
     let scope = CacheScope::of(MODEL, WeightsVersion(weights), wall);
     let chain = chain_of(&prompt.parts);
-    chain[..chain.len() - 1]
-        .iter()
-        .map(|link| scoped(scope, *link))
-        .collect()
+    gateway::shared_keys(scope, &chain).collect()
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -12,7 +12,7 @@
         gateway::{
             CacheScope, CallKind, Choice, CustomerSpec, Fetch, HeldAs, KeptStore, ModelCall, Pace,
             PartNote, Route, RoutingTable, Surroundings, chain_of, choose_model, choose_plain,
-            scoped,
+            shared_keys,
         },
     },
     http::{HeaderMap, Method, Request, Uri},
@@ -246,7 +246,6 @@
             return;
         };
         let scope = CacheScope::of(&prompt.model, weights, self.wall());
-        let shared_parts = self.chain.len().saturating_sub(1);
         let held_as = if is_read {
             HeldAs::Read
         } else {
@@ -262,10 +261,8 @@
             Some((choice.worker, held_as)),
             kept.map(|store| (store, HeldAs::Kept)),
         ];
-        let notes: Vec<PartNote> = self.chain[..shared_parts]
-            .iter()
-            .flat_map(|link| {
-                let part = scoped(scope, *link);
+        let notes: Vec<PartNote> = shared_keys(scope, &self.chain)
+            .flat_map(|part| {
                 let holders = holders.into_iter().flatten();
                 holders.map(move |(worker, held_as)| PartNote {
                     part,
@@ -299,8 +296,6 @@
 /// A request in progress at a backend server. It is noted as ended when this is dropped.
 pub struct InFlight {
     shared: Rc<Shared>,
-    /// The server.
-    pub worker: WorkerId,
     choice: Choice,
     sent_at_ms: TimeMs,
     is_read: Cell<bool>,
@@ -324,7 +319,6 @@
         }
         Self {
             shared: Rc::clone(shared),
-            worker: choice.worker,
             choice: *choice,
             sent_at_ms,
             is_read: Cell::new(false),
@@ -346,10 +340,16 @@
         let Some(sample) = Pace::sample(self.choice.nominal_ms, took_ms) else {
             return;
         };
-        if let Some(backend) = self.shared.state.borrow_mut().backends.get_mut(self.worker) {
+        if let Some(backend) = self
+            .shared
+            .state
+            .borrow_mut()
+            .backends
+            .get_mut(self.choice.worker)
+        {
             backend.pace.learn(sample);
         }
-        self.shared.peers.note_pace(self.worker, sample);
+        self.shared.peers.note_pace(self.choice.worker, sample);
     }
 
     /// Notes that its prompt has been read, or never will be.
@@ -358,7 +358,7 @@
             return;
         }
         let mut state = self.shared.state.borrow_mut();
-        if let Some(backend) = state.backends.get_mut(self.worker) {
+        if let Some(backend) = state.backends.get_mut(self.choice.worker) {
             backend.note_read(self.choice.reading_ms);
         }
     }
@@ -370,7 +370,7 @@
         let mut state = self.shared.state.borrow_mut();
         let writes = u64::from(self.choice.mostly_writes);
         state.writing = state.writing.saturating_sub(writes);
-        if let Some(backend) = state.backends.get_mut(self.worker) {
+        if let Some(backend) = state.backends.get_mut(self.choice.worker) {
             backend.note_ended();
         }
     }
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -36,7 +36,7 @@
 /// Whom a notice goes to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Receivers {
-    /// Peers for themselves.
+    /// Peers for themselves, in the order of their addresses.
     pub direct: Vec<SocketAddr>,
     /// Peers that pass it on in their failure domains.
     pub passing_on: Vec<SocketAddr>,
@@ -196,6 +196,7 @@
             let drawn = usize::try_from(drawn).unwrap_or_default();
             receivers.passing_on.push(running[drawn].address);
         }
+        receivers.direct.sort_unstable();
         receivers
     }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -312,6 +312,10 @@
     where
         A: Iterator<Item = &'a SocketAddr>,
     {
+        let told: Vec<SocketAddr> = told.copied().collect();
+        if told.is_empty() {
+            return;
+        }
         let ask = self.envelope(Ask::Notice(Box::new(notice)));
         let sealed: Bytes = match SealedAsk::seal(&self.key, &ask) {
             Ok(sealed) => sealed.into(),
@@ -320,7 +324,6 @@
                 return;
             }
         };
-        let told: Vec<SocketAddr> = told.copied().collect();
         if self.outbox.try_send((sealed, told)).is_err() {
             // The next notice says the same.
             metrics::counter!("cactusspur_notices_dropped_total").increment(1);
@@ -429,8 +432,8 @@
     let Some(standing) = standing else {
         return;
     };
-    for (address, told) in &standing.kept {
-        kept::note(shared, *address, *told);
+    for (store, told) in &standing.kept {
+        kept::note(shared, *store, *told);
     }
     let state = shared.state.borrow();
     let is_near = state.peers.is_in(address, &shared.settings.domain);
