--- a/src/operator/entry_client.rs
+++ b/src/operator/entry_client.rs
@@ -1,7 +1,7 @@
 //! Asks entry VMs on their operators' addresses.
 
 use {
-    super::Failure,
+    super::{ExitStatus, Failure, OutputFormat},
     cactusspur_core::{Generation, TimeMs},
     futures::future::join_all,
     ntex::{
@@ -9,7 +9,7 @@
         time::{Millis, timeout},
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
-    std::net::SocketAddr,
+    std::{io, net::SocketAddr},
 };
 
 /// How long an entry VM may take to answer.
@@ -118,3 +118,50 @@
     asked.extend(ask_all(&known, "/status").await);
     asked
 }
+
+/// An entry VM's answer as it is printed.
+#[derive(Debug, Serialize)]
+pub(super) struct Answer<T> {
+    /// The entry VM that was asked.
+    pub address: SocketAddr,
+    /// What it told.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub status: Option<T>,
+    /// Why it told nothing.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub error: Option<String>,
+}
+
+impl<T> From<Asked<T>> for Answer<T> {
+    fn from((address, asked): Asked<T>) -> Self {
+        let (status, error) = match asked {
+            Ok(status) => (Some(status), None),
+            Err(failure) => (None, Some(failure.to_string())),
+        };
+        Self {
+            address,
+            status,
+            error,
+        }
+    }
+}
+
+/// Prints answers, and says whether all were there.
+pub(super) fn print_answers<T, W, F>(
+    asked: Vec<Asked<T>>,
+    format: OutputFormat,
+    out: &mut W,
+    describe: F,
+) -> Result<ExitStatus, Failure>
+where
+    T: Serialize,
+    W: io::Write,
+    F: FnOnce(&[Answer<T>]) -> Vec<String>,
+{
+    let answers: Vec<Answer<T>> = asked.into_iter().map(Answer::from).collect();
+    format.print(out, &answers, |answers| describe(answers))?;
+    if answers.iter().any(|answer| answer.status.is_none()) {
+        return Ok(ExitStatus::Unreachable);
+    }
+    Ok(ExitStatus::Done)
+}
--- a/src/operator/gateway.rs
+++ b/src/operator/gateway.rs
@@ -1,21 +1,14 @@
 //! `cactusspur gateway`.
 
 use {
-    super::{ExitStatus, Failure, GatewayArguments, OutputFormat, entry_client::ask_all},
+    super::{
+        ExitStatus, Failure, GatewayArguments, OutputFormat,
+        entry_client::{Answer, ask_all, print_answers},
+    },
     crate::gateway::status::{BackendStatus, GatewayStatus},
-    serde::Serialize,
-    std::{io, iter, net::SocketAddr},
+    std::{io, iter},
 };
 
-#[derive(Serialize)]
-struct Answer {
-    address: SocketAddr,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    status: Option<GatewayStatus>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    error: Option<String>,
-}
-
 pub(super) async fn run<W>(
     arguments: &GatewayArguments,
     format: OutputFormat,
@@ -25,31 +18,12 @@
     W: io::Write,
 {
     let asked = ask_all::<GatewayStatus>(&arguments.metrics, "/status").await;
-    let answers: Vec<Answer> = asked
-        .into_iter()
-        .map(|(address, asked)| match asked {
-            Ok(status) => Answer {
-                address,
-                status: Some(status),
-                error: None,
-            },
-            Err(failure) => Answer {
-                address,
-                status: None,
-                error: Some(failure.to_string()),
-            },
-        })
-        .collect();
-    format.print(out, &answers, |answers| {
+    print_answers(asked, format, out, |answers| {
         answers.iter().flat_map(describe).collect()
-    })?;
-    if answers.iter().any(|answer| answer.status.is_none()) {
-        return Ok(ExitStatus::Unreachable);
-    }
-    Ok(ExitStatus::Done)
+    })
 }
 
-fn describe(answer: &Answer) -> Vec<String> {
+fn describe(answer: &Answer<GatewayStatus>) -> Vec<String> {
     let Some(status) = &answer.status else {
         return vec![format!("{} does not answer", answer.address)];
     };
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -3,38 +3,11 @@
 use {
     super::{
         EntryStatus, ExitStatus, Failure, OutputFormat, StatusArguments,
-        entry_client::{Asked, statuses},
+        entry_client::{Answer, print_answers, statuses},
     },
-    serde::Serialize,
-    std::{io, net::SocketAddr},
+    std::io,
 };
 
-#[derive(Serialize)]
-struct Answer {
-    address: SocketAddr,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    status: Option<EntryStatus>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    error: Option<String>,
-}
-
-impl From<Asked<EntryStatus>> for Answer {
-    fn from((address, asked): Asked<EntryStatus>) -> Self {
-        match asked {
-            Ok(status) => Self {
-                address,
-                status: Some(status),
-                error: None,
-            },
-            Err(failure) => Self {
-                address,
-                status: None,
-                error: Some(failure.to_string()),
-            },
-        }
-    }
-}
-
 pub(super) async fn run<W>(
     arguments: &StatusArguments,
     format: OutputFormat,
@@ -44,15 +17,10 @@
     W: io::Write,
 {
     let asked = statuses(&arguments.entries, arguments.only).await;
-    let answers: Vec<Answer> = asked.into_iter().map(Answer::from).collect();
-    format.print(out, &answers, |answers| describe(answers))?;
-    if answers.iter().any(|answer| answer.status.is_none()) {
-        return Ok(ExitStatus::Unreachable);
-    }
-    Ok(ExitStatus::Done)
+    print_answers(asked, format, out, describe)
 }
 
-fn describe(answers: &[Answer]) -> Vec<String> {
+fn describe(answers: &[Answer<EntryStatus>]) -> Vec<String> {
     let header = row(
         "ENTRY VM",
         "DOMAIN",
