One exchange with a time limit, one order of gateways

Links::exchange is the one place; a silent engine is now logged with the time that it had. - Who watches a store of kept cache, who watches tables and whose turn the lease is rest on the same order of names with another key each; order_of and Peers::running_before say it once, with a test that all places differ.

--- a/src/gateway/kept.rs
+++ b/src/gateway/kept.rs
@@ -6,12 +6,9 @@
 
 use {
     super::{Shared, clock::now, dialect::KeptState},
-    cactusspur_core::{
-        DurationMs, Table, WorkerId,
-        gateway::{KeptStore, rank},
-    },
+    cactusspur_core::{DurationMs, Table, WorkerId, gateway::KeptStore},
     std::{net::SocketAddr, rc::Rc, time::Duration},
-    tokio::time::{sleep, timeout},
+    tokio::time::sleep,
 };
 
 /// How long a store may hold a question. Held ones cost nothing.
@@ -144,32 +141,23 @@
 
 /// Whether this gateway is one of the first in an order on which all agree.
 fn is_watcher(shared: &Shared, store: WorkerId) -> bool {
-    let rank_of = |name: &str| rank(store.0, WorkerId::of(name));
-    let own = rank_of(&shared.settings.name);
     let state = shared.state.borrow();
     let before = state
         .peers
-        .running(now())
-        .filter(|name| rank_of(name) > own);
-    before.count() < WATCHERS
+        .running_before(&shared.settings.name, store.0, now());
+    before < WATCHERS
 }
 
 async fn ask(shared: &Shared, address: SocketAddr, since: u64) -> Option<KeptState> {
     let request = shared.dialect.ask_kept(since, HELD_MS);
-    let exchange = async {
-        let reply = shared.links.send(address, request).await?;
-        reply.read(&shared.links, MAX_ANSWER_BYTES).await
-    };
-    match timeout(ANSWER_LIMIT, exchange).await {
-        Ok(Ok((_, body))) => shared.dialect.read_kept(&body),
-        Ok(Err(error)) => {
+    let links = &shared.links;
+    let exchange = links.exchange(address, request, MAX_ANSWER_BYTES, ANSWER_LIMIT);
+    match exchange.await {
+        Ok((_, body)) => shared.dialect.read_kept(&body),
+        Err(error) => {
             tracing::debug!(%address, %error, "a store of kept KV cache did not answer");
             None
         }
-        Err(_) => {
-            tracing::debug!(%address, "a store of kept KV cache did not answer in time");
-            None
-        }
     }
 }
 
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -128,6 +128,31 @@
         }
     }
 
+    /// Sends a request and reads its whole answer, up to `max_bytes`, within a time.
+    ///
+    /// # Errors
+    ///
+    /// Why there is no whole answer, and whether the request may have run.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+        limit: Duration,
+    ) -> Result<(http::response::Parts, Bytes), LinkFailure> {
+        let exchange = async {
+            let reply = self.send(address, request).await?;
+            reply.read(self, max_bytes).await
+        };
+        timeout(limit, exchange).await.unwrap_or_else(|_| {
+            Err(LinkFailure {
+                what: format!("no answer within {} ms", limit.as_millis()),
+                verdict: Verdict::MayHaveRun,
+                is_unreachable: false,
+            })
+        })
+    }
+
     /// Gives a connection back after a complete answer.
     pub fn give_back(&self, reply: Connection, keep_ms: DurationMs) {
         if keep_ms == DurationMs(0) || reply.send.is_closed() {
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -3,7 +3,7 @@
 use {
     cactusspur_core::{
         DurationMs, TimeMs, WeightsVersion, WorkerId,
-        gateway::{Load, Pace, PartNote},
+        gateway::{Load, Pace, PartNote, rank},
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -89,6 +89,13 @@
     pub done: Vec<WorkerId>,
 }
 
+/// A gateway's place in an order on which all agree without talking; the highest is the first. Each
+/// `key` makes another order.
+#[must_use]
+pub fn order_of(name: &str, key: u64) -> u64 {
+    rank(key, WorkerId::of(name))
+}
+
 /// Other gateways that are known.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -206,6 +213,14 @@
         running.map(|peer| peer.name.as_str())
     }
 
+    /// How many running peers come before a gateway in the order for a key.
+    #[must_use]
+    pub fn running_before(&self, own_name: &str, key: u64, now: TimeMs) -> usize {
+        let own = order_of(own_name, key);
+        let before = self.running(now).filter(|name| order_of(name, key) > own);
+        before.count()
+    }
+
     /// The addresses of peers in a failure domain.
     pub fn addresses_in(&self, domain: &str) -> impl Iterator<Item = SocketAddr> {
         let near = self.rows.iter().filter(move |peer| peer.domain == domain);
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -4,10 +4,11 @@
     super::{
         Shared,
         clock::now,
+        notice::order_of,
         replica::{StoredRow, TableCopy},
         store::{Changes, MetadataStore, StoreError, Written},
     },
-    cactusspur_core::{DurationMs, WorkerId, gateway::rank},
+    cactusspur_core::DurationMs,
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -20,6 +21,8 @@
 const SERIES_WAIT: Duration = Duration::from_millis(250);
 /// Gateways of a failure domain that ask the store: one, and one in case it fails.
 const WATCHERS: usize = 2;
+/// The order of gateways in which they watch tables.
+const WATCHERS_KEY: u64 = 0;
 /// How often a gateway that doesn't looks whether it should.
 const WATCHER_LOOK: Duration = Duration::from_millis(250);
 /// The wait after a first failure; it doubles with each further one. Every call is paid for.
@@ -147,17 +150,13 @@
 /// hear from them, and take their place when they fall silent. When too many ask, those that come
 /// last in an order which all agree on stop.
 fn is_watcher(shared: &Shared, asks: bool) -> bool {
-    let own = watcher_rank(&shared.settings.name);
+    let own = order_of(&shared.settings.name, WATCHERS_KEY);
     let state = shared.state.borrow();
     let watching = state.peers.watching(&shared.settings.domain, now());
-    let enough = watching.filter(|name| !asks || watcher_rank(name) > own);
+    let enough = watching.filter(|name| !asks || order_of(name, WATCHERS_KEY) > own);
     enough.count() < WATCHERS
 }
 
-fn watcher_rank(name: &str) -> u64 {
-    rank(0, WorkerId::of(name))
-}
-
 /// Asks the store once. Gives back whether the table has changed.
 async fn poll<S>(shared: &Rc<Shared>, store: &S, table: &str) -> Result<bool, StoreError>
 where
--- a/src/gateway/weights.rs
+++ b/src/gateway/weights.rs
@@ -11,7 +11,7 @@
     },
     cactusspur_core::{
         DurationMs, TimeMs, WeightsVersion, WorkerId,
-        gateway::{OrderState, Rollout, RolloutEngine, RolloutStep, rank},
+        gateway::{OrderState, Rollout, RolloutEngine, RolloutStep},
     },
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
@@ -148,17 +148,14 @@
 /// How long this gateway leaves the lease to others. All gateways agree on the order without
 /// talking, so that one asks the store instead of all.
 fn turn(shared: &Shared, model: &str) -> Duration {
-    let own = rank_of(&shared.settings.name, model);
+    let key = WorkerId::of(model).0;
     let state = shared.state.borrow();
-    let running = state.peers.running(now());
-    let before = running.filter(|name| rank_of(name, model) > own).count();
+    let before = state
+        .peers
+        .running_before(&shared.settings.name, key, now());
     Duration::from_millis(TURN_MS.0 * before as u64)
 }
 
-fn rank_of(name: &str, model: &str) -> u64 {
-    rank(WorkerId::of(model).0, WorkerId::of(name))
-}
-
 fn another_rolls(shared: &Shared) -> bool {
     let heard = shared.state.borrow().rollout_heard_at_ms;
     heard.is_some_and(|at| now().since(at) < OTHER_ROLLS_MS)
@@ -308,20 +305,14 @@
 pub async fn ask(shared: &Shared, model: &str, worker: WorkerId) -> Option<OrderState> {
     let (address, instance) = target(shared, worker)?;
     let request = shared.dialect.ask_state(&instance);
-    let exchange = async {
-        let reply = shared.links.send(address, request).await?;
-        reply.read(&shared.links, MAX_ANSWER_BYTES).await
-    };
-    let told = match timeout(ANSWER_LIMIT, exchange).await {
-        Ok(Ok((_, body))) => shared.dialect.read_state(model, &body),
-        Ok(Err(error)) => {
+    let links = &shared.links;
+    let exchange = links.exchange(address, request, MAX_ANSWER_BYTES, ANSWER_LIMIT);
+    let told = match exchange.await {
+        Ok((_, body)) => shared.dialect.read_state(model, &body),
+        Err(error) => {
             tracing::info!(backend = instance, %error, "an engine did not tell its state");
             None
         }
-        Err(_) => {
-            tracing::info!(backend = instance, "an engine was silent about its state");
-            None
-        }
     }?;
     let mut state = shared.state.borrow_mut();
     // What it tells lags behind: it may still tell weights that it no longer has.
@@ -371,15 +362,10 @@
             accepted,
         };
         let request = self.shared.dialect.order(&order);
-        let exchange = async {
-            let reply = self.shared.links.send(address, request).await?;
-            reply.read(&self.shared.links, MAX_ANSWER_BYTES).await
-        };
-        let answered = timeout(ANSWER_LIMIT, exchange).await;
-        let status = match &answered {
-            Ok(Ok((head, _))) => Some(head.status.as_u16()),
-            Ok(Err(_)) | Err(_) => None,
-        };
+        let links = &self.shared.links;
+        let exchange = links.exchange(address, request, MAX_ANSWER_BYTES, ANSWER_LIMIT);
+        let answered = exchange.await;
+        let status = answered.ok().map(|(head, _)| head.status.as_u16());
         tracing::info!(
             backend = instance,
             model = self.model,
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -97,3 +97,17 @@
     };
     assert_eq!(told, expected);
 }
+
+/// Each gateway counts those before it, so that the places of all differ.
+#[test]
+fn gateways_agree_on_an_order() {
+    let mut places = BTreeSet::new();
+    for own in 0..5 {
+        let mut others = Peers::default();
+        for number in (0..5).filter(|number| *number != own) {
+            hear(&mut others, number, "north", NOW);
+        }
+        places.insert(others.running_before(&format!("entry-{own}"), 7, NOW));
+    }
+    assert_eq!(places, (0..5).collect());
+}
