Keep a silent stream until another server goes on with it

While a gateway was shutting down, a resumable stream was silent for three times its longest pause; the gateway gave the server up, the other one turned the request down, and the caller's connection ended without the rest. Cause: the silent source was dropped before another one had taken over. Now the silent source is listened to while another one is asked, and dropped as that one's answer begins; when it goes on first, it stays.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,7 +19,7 @@
     futures::future::abortable,
     http::Response,
     http_body_util::BodyExt,
-    hyper::body::Incoming,
+    hyper::body::{Frame, Incoming},
     std::{rc::Rc, time::Duration},
     tokio::{sync::mpsc, time::timeout},
 };
@@ -93,10 +93,22 @@
     Complete,
     /// The caller has left.
     CallerLeft,
+    /// It fell silent, and another one goes on.
+    TakenOver(Box<Source>),
     /// It broke off.
     Broken(String),
 }
 
+/// What ended the silence of a source.
+enum Silence {
+    /// The source itself goes on, or ends.
+    Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// Another one goes on.
+    TakenOver(Box<Source>),
+    /// No other one takes the stream.
+    Lasts,
+}
+
 struct Relay {
     shared: Rc<Shared>,
     call: Rc<Call>,
@@ -127,6 +139,13 @@
                     self.log(worker, "caller left");
                     return;
                 }
+                Ended::TakenOver(next) => {
+                    forward::note_result(&self.shared, worker, false);
+                    self.log(worker, "silent");
+                    // The run there ends as the other one goes on.
+                    source = *next;
+                    continue;
+                }
                 Ended::Broken(what) => {
                     forward::note_result(&self.shared, worker, false);
                     self.log(worker, &what);
@@ -151,13 +170,21 @@
                 return Ended::Broken("out of time".to_owned());
             };
             let frame = match timeout(limit, source.body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => return Ended::Broken(format!("broke off: {error}")),
-                Ok(None) if source.reader.has_partial() => {
+                Ok(frame) => frame,
+                Err(_) if !self.may_resume() => return Ended::Broken("out of time".to_owned()),
+                Err(_) => match self.end_silence(source).await {
+                    Silence::Frame(frame) => frame,
+                    Silence::TakenOver(next) => return Ended::TakenOver(next),
+                    Silence::Lasts => continue,
+                },
+            };
+            let frame = match frame {
+                Some(Ok(frame)) => frame,
+                Some(Err(error)) => return Ended::Broken(format!("broke off: {error}")),
+                None if source.reader.has_partial() => {
                     return Ended::Broken("ended within an event".to_owned());
                 }
-                Ok(None) => return Ended::Complete,
-                Err(_) => return Ended::Broken("silent".to_owned()),
+                None => return Ended::Complete,
             };
             let Ok(bytes) = frame.into_data() else {
                 continue;
@@ -171,6 +198,15 @@
         }
     }
 
+    /// Has another server go on while the source is silent. The source is kept until then: a silent
+    /// one may still go on, and is better than none.
+    async fn end_silence(&mut self, source: &mut Source) -> Silence {
+        tokio::select! {
+            frame = source.body.frame() => Silence::Frame(frame),
+            next = self.resume() => next.map_or(Silence::Lasts, |next| Silence::TakenOver(Box::new(next))),
+        }
+    }
+
     /// Passes on the whole events that have come. Gives back whether the caller is still there.
     async fn pass_events(&mut self, source: &mut Source) -> bool {
         for event in source.reader.by_ref() {
