Log the parts of a prompt whose server broke off, and whether it had sent an event

Cause: lines of failed attempts and broken streams named the request and the server, not the prompt; requests that belong together could not be told from others.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -23,6 +23,8 @@
 
 /// The largest priority value that backend servers support, which is the lowest priority.
 const MAX_PRIORITY: u8 = 9;
+/// The most bytes of a prompt's part names in one line of the log.
+const MAX_LOGGED_PROMPT_BYTES: usize = 256;
 
 /// An admitted request.
 pub struct Call {
@@ -140,6 +142,14 @@
         self.route.kind
     }
 
+    /// The parts of the prompt as the caller names them, for the log; `None` without a prompt.
+    #[must_use]
+    pub fn prompt_names(&self) -> Option<&str> {
+        let names = self.head.prompt.as_ref()?.part_names.as_str();
+        let end = names.floor_char_boundary(MAX_LOGGED_PROMPT_BYTES);
+        Some(&names[..end])
+    }
+
     /// The time that remains to answer the request.
     #[must_use]
     pub fn remaining_ms(&self) -> DurationMs {
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -35,6 +35,8 @@
     pub model: String,
     /// The prompt's parts in order. The last one belongs to this request only.
     pub parts: Vec<PromptPart>,
+    /// The parts as the caller names them, for the log.
+    pub part_names: String,
     /// The maximum length of the answer; 0 when the caller gives none.
     pub max_answer_tokens: Tokens,
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -75,6 +75,8 @@
     keep_ms: DurationMs,
     in_flight: InFlightRequest,
     reader: EventReader,
+    /// Whether this server has sent an event.
+    has_events: bool,
 }
 
 impl Source {
@@ -87,6 +89,7 @@
             keep_ms,
             in_flight,
             reader: EventReader::default(),
+            has_events: false,
         }
     }
 }
@@ -161,6 +164,7 @@
                 SourceEnd::Broken(what) => {
                     forward::record_result(&self.shared, worker, false);
                     self.log(worker, &what);
+                    self.log_broken(&source, &what);
                     // Cancels the request there before another server is sent one.
                     drop(source);
                 }
@@ -223,6 +227,7 @@
     /// caller already has. Returns whether the caller is still connected.
     async fn send_events(&mut self, source: &mut Source) -> bool {
         for event in source.reader.by_ref() {
+            source.has_events = true;
             if self.event_count == 0 {
                 source.in_flight.record_first_token();
                 self.call.record_parts(&self.shared, &source.choice, true);
@@ -320,6 +325,15 @@
         None
     }
 
+    /// Logs what ran at a server that broke the stream off, and how far it was.
+    fn log_broken(&self, source: &Source, what: &str) {
+        tracing::info!(
+            request = self.call.head.request_id, worker = %source.choice.worker,
+            prompt = self.call.prompt_names(), has_events = source.has_events,
+            ran_ms = now().since(source.in_flight.sent_to().sent_at_ms).0, what, "stream broken off"
+        );
+    }
+
     /// Logs a step of the stream.
     fn log(&self, worker: WorkerId, what: &str) {
         tracing::info!(
