Break off a stream that ends with its connection before its first event

Callers saw a complete, empty success when a server crashed before the first event of an answer without a length or chunks. Cause: the end of such a body is the end of the connection, and only a partial event counted as broken off. Change: without any event from the server, and without framing, the stream is broken off; one that may be resumed is.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,7 +17,7 @@
         gateway::{CallKind, Choice},
     },
     futures::future::abortable,
-    http::Response,
+    http::{Response, header},
     http_body_util::BodyExt,
     hyper::body::{Frame, Incoming},
     std::{rc::Rc, time::Duration},
@@ -77,12 +77,17 @@
     reader: EventReader,
     /// Whether this server has sent an event.
     has_events: bool,
+    /// Whether the body has a length or chunks, so that its end is known.
+    is_framed: bool,
 }
 
 impl Source {
     fn new(choice: Choice, reply: UnreadResponse, in_flight: InFlightRequest) -> Self {
-        let (_, body, connection, keep_ms) = reply.into_parts();
+        let (head, body, connection, keep_ms) = reply.into_parts();
+        let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
+            || head.headers.contains_key(header::TRANSFER_ENCODING);
         Self {
+            is_framed,
             choice,
             body,
             connection,
@@ -200,6 +205,10 @@
                 None if source.reader.has_partial() => {
                     return SourceEnd::Broken("ended in the middle of an event".to_owned());
                 }
+                // Nothing tells the end of such a stream from that of its server.
+                None if !source.has_events && !source.is_framed => {
+                    return SourceEnd::Broken("ended before the first event".to_owned());
+                }
                 None => return SourceEnd::Complete,
             };
             let Ok(bytes) = frame.into_data() else {
