Keep requests away from engines that crash on a part of their prompt

Callers saw two thirds of all answers lost: each request with the part ended one engine after the other, and all that ran beside it. Cause: a crash was related to its server only (failures, connect back-off), never to the requests that ran there, and streams were resumed at the next engine without a limit of their own. Class: a failure that is counted against the resource instead of the work that caused it. Change: when a connection is lost between the head of an answer and its first event, and the engine refuses connections, the shared parts of the prompt are evidence, which gateways share. A part is quarantined after three crashes at different moments, or five if answers got past it before; an answer that gets past a part clears it of earlier crashes; parts with the same crashes are quarantined together until one is cleared. Requests with the parts get 422 at once, ones in progress are given up, and no request is tried on a third engine that way.

--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -12,6 +12,7 @@
 pub mod pace;
 pub mod pause;
 mod prediction;
+pub mod quarantine;
 pub mod rollout;
 pub mod routing;
 pub mod send_limit;
@@ -29,6 +30,10 @@
     },
     pace::Pace,
     pause::Pause,
+    quarantine::{
+        CrashReport, PartId, PassReport, Quarantine, QuarantineChange, QuarantineNotice,
+        QuarantineReport, Suspect, shared_parts,
+    },
     rollout::{OrderState, Rollout, RolloutEngine, RolloutStep},
     routing::{
         CallKind, CallerLimits, CustomerSpec, KeptStore, Route, RoutingTable, ServiceSpec, Split,
--- a/core/src/verdict.rs
+++ b/core/src/verdict.rs
@@ -64,6 +64,9 @@
     /// This entry VM has reached its limit on requests in progress.
     #[display("too many requests in progress")]
     TooManyRequests,
+    /// Engines crash when they begin to answer requests with a part of the prompt.
+    #[display("engines crash on the prompt")]
+    CrashesEngines,
 }
 
 /// The final answer to a request that is not served.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod protocol;
 pub mod pulls;
+pub mod quarantine;
 pub mod relay;
 pub mod removed;
 pub mod replica;
@@ -108,6 +109,8 @@
     pub store_restored: Notify,
     /// Notified when the store answers again after a failure.
     pub store_answers: Notify,
+    /// Notified when requests with some prompt parts are refused from now on.
+    pub quarantine_changed: Notify,
     /// Notified when weights are announced and when an engine is added or changed.
     pub weights_changed: Notify,
 }
@@ -160,6 +163,7 @@
             is_rolling_out: Cell::new(false),
             store_restored: Notify::new(),
             store_answers: Notify::new(),
+            quarantine_changed: Notify::new(),
             weights_changed: Notify::new(),
             settings,
         });
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -12,8 +12,8 @@
         DurationMs, TimeMs, Verdict, WorkerId,
         gateway::{
             CacheScope, CallKind, Choice, ChoiceContext, CustomerSpec, Fetch, KeptStore, ModelCall,
-            Pace, PartState, PartUpdate, Route, RoutingTable, choose_model, choose_plain,
-            hash_prefixes, shared_keys,
+            Pace, PartId, PartState, PartUpdate, Route, RoutingTable, choose_model, choose_plain,
+            hash_prefixes, shared_keys, shared_parts,
         },
     },
     http::{HeaderMap, Method, Request, Uri},
@@ -23,6 +23,8 @@
 
 /// The largest priority value that backend servers support, which is the lowest priority.
 const MAX_PRIORITY: u8 = 9;
+/// Servers that may be lost when they begin to answer a request before it is given up.
+const MAX_LOST_STARTS: usize = 2;
 /// The most bytes of a prompt's part names in one line of the log.
 const MAX_LOGGED_PROMPT_BYTES: usize = 256;
 
@@ -44,6 +46,9 @@
     pub answer_by_ms: TimeMs,
     /// When the caller stops waiting; the route's timeout if the caller sets no deadline.
     pub caller_deadline_ms: TimeMs,
+    /// The parts of the prompt that other requests may share.
+    pub shared_parts: Vec<PartId>,
+    lost_starts: Cell<usize>,
     method: Method,
     path: Uri,
     headers: HeaderMap,
@@ -117,6 +122,7 @@
         let caller_wait_ms = head.deadline_ms.unwrap_or(route.timeout_ms);
         let prompt_parts = head.prompt.as_ref().map(|prompt| &prompt.parts[..]);
         let prefix_hashes = hash_prefixes(prompt_parts.unwrap_or_default());
+        let shared_parts = shared_parts(prompt_parts.unwrap_or_default());
         let service = route.service(random).unwrap_or_default().to_owned();
         Self {
             service,
@@ -131,6 +137,8 @@
             headers: parts.headers,
             body,
             head,
+            shared_parts,
+            lost_starts: Cell::new(0),
             prefix_hashes,
             random,
         }
@@ -142,6 +150,17 @@
         self.route.kind
     }
 
+    /// Records that a server was lost when it had begun to answer and had sent no event.
+    pub fn record_lost_start(&self) {
+        self.lost_starts.set(self.lost_starts.get() + 1);
+    }
+
+    /// Whether as many servers were lost in that way as one request may end.
+    #[must_use]
+    pub fn has_lost_servers(&self) -> bool {
+        self.lost_starts.get() >= MAX_LOST_STARTS
+    }
+
     /// The parts of the prompt as the caller names them, for the log; `None` without a prompt.
     #[must_use]
     pub fn prompt_names(&self) -> Option<&str> {
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -13,7 +13,7 @@
     crate::peer::PeerRequest,
     cactusspur_core::{
         DurationMs, EntryId, TimeMs, VecMap, WorkerId,
-        gateway::{Load, Pace, PartState, PartUpdate},
+        gateway::{Load, Pace, PartState, PartUpdate, QuarantineReport},
     },
     derive_more::{Display, From, Into},
     serde::{Deserialize, Serialize},
@@ -93,6 +93,8 @@
     /// The KV cache stores that were polled, with their incarnations; `None` for one that doesn't
     /// answer.
     pub kept_stores: Vec<(SocketAddr, Option<u64>)>,
+    /// What is known of crashes of engines.
+    pub quarantine: QuarantineReport,
     /// The state of the rollout, from the holder of the order lease.
     pub rollout: Option<RolloutNotice>,
     /// Some members of the sender's failure domain.
@@ -113,6 +115,7 @@
             && self.parts.is_empty()
             && self.decode_heavy_requests.is_empty()
             && self.kept_stores.is_empty()
+            && self.quarantine.is_empty()
             && self.rollout.is_none()
             && self.members.is_empty()
             && self.domains.is_empty()
@@ -126,6 +129,7 @@
         self.paces.extend(other.paces);
         self.parts.extend(other.parts);
         self.kept_stores.extend(other.kept_stores);
+        self.quarantine.merge(other.quarantine);
         self.rollout = other.rollout.or(self.rollout.take());
     }
 
@@ -136,6 +140,8 @@
         const MAX_ROWS_EACH: usize = MAX_PACKET_BYTES / ROW_BYTES;
         /// A member's row takes about as much as this many others.
         const MEMBER_ROWS: usize = 3;
+        /// So does a crash with its parts.
+        const CRASH_ROWS: usize = 4;
 
         let mut packets = Vec::new();
         let mut current = Self {
@@ -169,6 +175,18 @@
             make_room(&mut current, 1);
             current.parts.push(row);
         }
+        for row in self.quarantine.crashes {
+            make_room(&mut current, CRASH_ROWS);
+            current.quarantine.crashes.push(row);
+        }
+        for row in self.quarantine.quarantines {
+            make_room(&mut current, 1);
+            current.quarantine.quarantines.push(row);
+        }
+        for row in self.quarantine.passes {
+            make_room(&mut current, 1);
+            current.quarantine.passes.push(row);
+        }
         for row in self.decode_heavy_requests {
             make_room(&mut current, 1);
             current.decode_heavy_requests.push(row);
@@ -193,6 +211,7 @@
     parts: VecMap<(u64, WorkerId), PartState>,
     decode_heavy_requests: VecMap<SocketAddr, u64>,
     kept_stores: VecMap<SocketAddr, Option<u64>>,
+    quarantine: QuarantineReport,
     rollout: Option<RolloutNotice>,
 }
 
@@ -230,6 +249,7 @@
             parts,
             decode_heavy_requests,
             kept_stores,
+            quarantine,
             rollout,
         } = std::mem::take(self);
         let parts = parts.iter().map(|((part, worker), state)| PartUpdate {
@@ -248,6 +268,7 @@
             parts: parts.collect(),
             decode_heavy_requests: decode_heavy.map(|row| (*row.0, *row.1)).collect(),
             kept_stores: kept_stores.iter().map(|row| (*row.0, *row.1)).collect(),
+            quarantine,
             rollout,
             ..Digest::default()
         }
@@ -302,11 +323,20 @@
         for (store, incarnation) in stores {
             pending.kept_stores.insert(*store, *incarnation);
         }
+        // The periodic report of each member would only repeat that of the gateway that merges.
+        if notice.status.is_none() {
+            pending.quarantine.merge(notice.quarantine.clone());
+        }
         if notice.rollout.is_some() {
             pending.rollout.clone_from(&notice.rollout);
         }
     }
 
+    /// Merges what the own gateway knows of crashes.
+    pub fn add_quarantine(&mut self, report: QuarantineReport) {
+        self.domain.quarantine.merge(report);
+    }
+
     /// Merges a digest of another failure domain.
     pub fn add_digest(&mut self, digest: Digest) {
         let pending = &mut self.others;
@@ -325,6 +355,9 @@
         for (store, incarnation) in digest.kept_stores {
             pending.kept_stores.insert(store, incarnation);
         }
+        if digest.status.is_none() {
+            pending.quarantine.merge(digest.quarantine);
+        }
         if digest.rollout.is_some() {
             pending.rollout = digest.rollout;
         }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -7,7 +7,7 @@
         clock::now,
         link::{ExchangeFailure, UnreadResponse},
         protocol::ResponseHead,
-        relay,
+        quarantine, relay,
         response::{self, ResponseBody},
         weights,
     },
@@ -177,9 +177,14 @@
     let mut last_response = None;
     let mut backlog_ms = None;
     let mut why = "no backend server accepts new requests".to_owned();
-    loop {
+    let is_quarantined = loop {
+        if quarantine::refuses(shared, call) {
+            "engines crash on a part of the prompt".clone_into(&mut why);
+            break true;
+        }
         let may_attempt = sends < call.route.max_backends
             && connect_failures < MAX_CONNECT_FAILURES
+            && !call.has_lost_servers()
             && (!may_have_run || call.kind().may_repeat())
             && call.remaining_ms() > MIN_REMAINING_MS
             && (sends == 0
@@ -188,7 +193,7 @@
                     .borrow_mut()
                     .withdraw_retry(&call.service, now()));
         if !may_attempt {
-            break;
+            break false;
         }
         let Some(choice) = call.choose(shared, &tried) else {
             let wait_ms = held_back_ms(shared, call);
@@ -196,12 +201,12 @@
                 backlog_ms = Some(wait_ms);
                 "the backend servers ask for fewer requests".clone_into(&mut why);
             }
-            break;
+            break false;
         };
         if let Err(too_late) = check_in_time(&choice, call.remaining_ms()) {
             backlog_ms = Some(choice.queue_ms);
             why = too_late.to_string();
-            break;
+            break false;
         }
         let outcome = attempt_with_timeout(shared, call, choice, &tried, sends).await;
         tried.push(choice.worker);
@@ -222,7 +227,7 @@
                 why = failure.reason;
             }
         }
-    }
+    };
     if let Some(response) = last_response {
         return response;
     }
@@ -235,6 +240,7 @@
             Verdict::NotRun
         },
         cause: match (is_overload, tried.is_empty()) {
+            _ if is_quarantined => Cause::CrashesEngines,
             (true, _) => Cause::Overload,
             (false, true) => Cause::NoWorker,
             (false, false) => Cause::BackendFailed,
@@ -287,9 +293,16 @@
             _ => first,
         }
     };
-    match timeout(limit, exchange).await {
-        Ok(outcome) => outcome,
-        Err(_) => Outcome::Failed(timed_out(shared, &choice)),
+    tokio::select! {
+        outcome = timeout(limit, exchange) => {
+            outcome.unwrap_or_else(|_| Outcome::Failed(timed_out(shared, &choice)))
+        }
+        () = quarantine::recalled(shared, call) => Outcome::Failed(AttemptFailure {
+            reason: "given up, since engines crash on a part of the prompt".to_owned(),
+            verdict: Verdict::MayHaveRun,
+            is_unsent: false,
+            has_weights_mismatch: false,
+        }),
     }
 }
 
@@ -522,9 +535,16 @@
         .await;
     let (head, body) = match read {
         Ok(read) => read,
-        Err(failure) => return Outcome::Failed(record_failure(shared, choice.worker, failure)),
+        Err(failure) => {
+            let started_at_ms = in_flight.sent_to().started_at_ms;
+            quarantine::handle_lost_start(shared, call, choice, started_at_ms).await;
+            return Outcome::Failed(record_failure(shared, choice.worker, failure));
+        }
     };
     let succeeded = !head.status.is_server_error();
+    if succeeded {
+        quarantine::record_first_event(shared, call);
+    }
     record_result(shared, choice.worker, succeeded);
     log_answered(call, choice, &head);
     let response = response::with_body(head.status, response_headers(shared, &head), body);
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -17,13 +17,15 @@
     },
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::RefCell, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{net::TcpStream, time::timeout},
 };
 
 /// The timeout for opening a connection. Round trips take a few milliseconds, and the system
 /// retransmits a lost SYN packet only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a check waits for an answer to its connection attempt.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long sent data may remain unacknowledged before a connection counts as broken.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The idle time before the first TCP keepalive probe, and the interval between probes.
@@ -294,6 +296,12 @@
     })
 }
 
+/// Whether nothing listens at an address any more, as after the crash of a server.
+pub async fn refuses_connections(address: SocketAddr) -> bool {
+    let attempt = timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(attempt, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Sets the socket options by which a connection detects that its peer is gone without a reset.
 pub fn set_socket_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -4,7 +4,7 @@
     super::replica::StoreVersion,
     cactusspur_core::{
         DurationMs, WeightsVersion, WorkerId,
-        gateway::{Load, Pace, PartUpdate},
+        gateway::{Load, Pace, PartUpdate, QuarantineReport},
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -27,6 +27,8 @@
     pub paces: Vec<(WorkerId, Pace)>,
     /// The state of the rollout that the sender runs as the holder of the order lease.
     pub rollout: Option<RolloutNotice>,
+    /// What the sender knows of crashes of engines.
+    pub quarantine: QuarantineReport,
     /// The sender's status, included periodically and after a change.
     pub status: Option<StatusNotice>,
     /// Whether the receiver must relay the notice to the other gateways of its failure domain.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -14,6 +14,7 @@
         notice::{Notice, RolloutNotice, StatusNotice, WeightsNotice},
         peer_table::Member,
         pulls::Pulls,
+        quarantine,
         replica::{StoreVersion, TableCopy},
         state::GatewayState,
         store_polls::PollTimes,
@@ -26,7 +27,7 @@
     bytes::Bytes,
     cactusspur_core::{
         DurationMs, EntryId, VecMap, WorkerId,
-        gateway::{Load, Pace, PartUpdate},
+        gateway::{Load, Pace, PartUpdate, QuarantineReport},
     },
     error_stack::{Report, ResultExt},
     std::{
@@ -152,6 +153,16 @@
     pub fn announce(&self, shared: &Rc<Shared>) {
         let notice = Notice {
             status: Some(self.status(shared)),
+            quarantine: shared.state.borrow().quarantine.report(now()),
+            ..self.notice(shared, Vec::new())
+        };
+        self.send(shared, notice);
+    }
+
+    /// Sends all peers news of crashes at once.
+    pub fn announce_quarantine(&self, shared: &Rc<Shared>, report: QuarantineReport) {
+        let notice = Notice {
+            quarantine: report,
             ..self.notice(shared, Vec::new())
         };
         self.send(shared, notice);
@@ -365,6 +376,7 @@
             self.shared_status(&state.replica.newest_versions(), state.weights_notices(now));
         let decode_heavy = state.decode_heavy_requests;
         let state = &mut *state;
+        state.collector.add_quarantine(state.quarantine.report(now));
         let outgoing = state.collector.hand_out_status(
             &own,
             decode_heavy,
@@ -430,7 +442,10 @@
         let own = self.own_member(shared, state.store_age_ms(now));
         let status =
             self.shared_status(&state.replica.newest_versions(), state.weights_notices(now));
-        let digest = membership(&state.peers, &own, state.decode_heavy_requests, status, now);
+        let digest = Digest {
+            quarantine: state.quarantine.report(now),
+            ..membership(&state.peers, &own, state.decode_heavy_requests, status, now)
+        };
         drop(state);
         let message = PeerRequest::Digest {
             pass_on_to: Vec::new(),
@@ -478,6 +493,7 @@
             address: Some(self.address),
             decode_heavy_requests: shared.state.borrow().decode_heavy_requests,
             status: Some(self.status(shared)),
+            quarantine: shared.state.borrow().quarantine.report(now()),
             ..Notice::default()
         };
         self.send_to(notice, peers.iter());
@@ -670,6 +686,7 @@
     if let Some(address) = misplaced {
         shared.peers.send_membership(shared, address);
     }
+    quarantine::apply(shared, &digest.quarantine);
     for (store, incarnation) in &digest.kept_stores {
         kept_stores::record_answer(shared, *store, *incarnation);
     }
@@ -708,6 +725,7 @@
             .should_watch_store(true, times, rand::random(), now)
     });
     drop(state);
+    quarantine::apply(shared, &notice.quarantine);
     if is_new {
         // The peer may have just started and lack the current state.
         shared.peers.announce_to(shared, &[address]);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,6 +9,7 @@
         event_stream::EventReader,
         forward,
         link::{Connection, UnreadResponse},
+        quarantine,
         response::{IncompleteResponse, ResponseBody, StreamedBody},
     },
     bytes::Bytes,
@@ -109,6 +110,8 @@
     TakenOver(Box<Source>),
     /// The stream ended early, for the contained reason.
     Broken(String),
+    /// The connection ended before the stream, as described.
+    Lost(String),
 }
 
 /// The outcome of waiting on a silent source.
@@ -173,6 +176,23 @@
                     // Cancels the request there before another server is sent one.
                     drop(source);
                 }
+                SourceEnd::Lost(what) => {
+                    forward::record_result(&self.shared, worker, false);
+                    self.log(worker, &what);
+                    self.log_broken(&source, &what);
+                    if !source.has_events {
+                        let started_at_ms = source.in_flight.sent_to().started_at_ms;
+                        let choice = source.choice;
+                        drop(source);
+                        quarantine::handle_lost_start(
+                            &self.shared,
+                            &self.call,
+                            &choice,
+                            started_at_ms,
+                        )
+                        .await;
+                    }
+                }
             }
             if let Some(next) = self.resume().await {
                 source = next;
@@ -190,7 +210,13 @@
             let Some(limit) = self.silence_limit(source) else {
                 return SourceEnd::Broken("timed out".to_owned());
             };
-            let frame = match timeout(limit, source.body.frame()).await {
+            let frame = tokio::select! {
+                frame = timeout(limit, source.body.frame()) => frame,
+                () = quarantine::recalled(&self.shared, &self.call), if !source.has_events => {
+                    return SourceEnd::Broken("engines crash on a part of the prompt".to_owned());
+                }
+            };
+            let frame = match frame {
                 Ok(frame) => frame,
                 Err(_) if !self.may_resume() => return SourceEnd::Broken("timed out".to_owned()),
                 Err(_) => match self.wait_or_resume(source).await {
@@ -201,13 +227,13 @@
             };
             let frame = match frame {
                 Some(Ok(frame)) => frame,
-                Some(Err(error)) => return SourceEnd::Broken(format!("reading failed: {error}")),
+                Some(Err(error)) => return SourceEnd::Lost(format!("reading failed: {error}")),
                 None if source.reader.has_partial() => {
-                    return SourceEnd::Broken("ended in the middle of an event".to_owned());
+                    return SourceEnd::Lost("ended in the middle of an event".to_owned());
                 }
                 // Nothing tells the end of such a stream from that of its server.
                 None if !source.has_events && !source.is_framed => {
-                    return SourceEnd::Broken("ended before the first event".to_owned());
+                    return SourceEnd::Lost("ended before the first event".to_owned());
                 }
                 None => return SourceEnd::Complete,
             };
@@ -236,7 +262,9 @@
     /// caller already has. Returns whether the caller is still connected.
     async fn send_events(&mut self, source: &mut Source) -> bool {
         for event in source.reader.by_ref() {
-            source.has_events = true;
+            if !std::mem::replace(&mut source.has_events, true) {
+                quarantine::record_first_event(&self.shared, &self.call);
+            }
             if self.event_count == 0 {
                 source.in_flight.record_first_token();
                 self.call.record_parts(&self.shared, &source.choice, true);
@@ -297,7 +325,17 @@
     /// Resumes the stream at another server after the last event that the caller has, trying further
     /// servers while the limits of the route and the retry budget allow it.
     async fn resume(&mut self) -> Option<Source> {
-        while self.may_resume() && self.call.remaining_ms() > DurationMs(0) {
+        while self.may_resume()
+            && !self.call.has_lost_servers()
+            && self.call.remaining_ms() > DurationMs(0)
+        {
+            if quarantine::refuses(&self.shared, &self.call) {
+                tracing::info!(
+                    request = self.call.head.request_id,
+                    "not resumed, since engines crash on a part of the prompt"
+                );
+                return None;
+            }
             let service = &self.call.service;
             if !self
                 .shared
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,8 +16,8 @@
     cactusspur_core::{
         DurationMs, TimeMs, VecMap, WeightsVersion, WorkerId,
         gateway::{
-            AnnouncedWeights, Backend, BackendTable, CachedParts, Load, PartUpdate, RetryBudget,
-            RoutingTable,
+            AnnouncedWeights, Backend, BackendTable, CachedParts, Load, PartUpdate, Quarantine,
+            RetryBudget, RoutingTable,
         },
     },
     std::rc::Rc,
@@ -66,6 +66,8 @@
     pub announced_weights: VecMap<String, Vec<AnnouncedWeights>>,
     /// The state of the KV cache stores.
     pub kept_stores: KeptStoreStates,
+    /// The prompt parts on which engines crash.
+    pub quarantine: Quarantine,
     /// The number of this gateway's decode-heavy requests in progress.
     pub decode_heavy_requests: u64,
     /// Other gateways.
@@ -109,6 +111,7 @@
             retry_budget: RetryBudget::new(settings.retry_budget),
             announced_weights: VecMap::default(),
             kept_stores: KeptStoreStates::default(),
+            quarantine: Quarantine::new(gateway_rank(&settings.name, 0)),
             decode_heavy_requests: 0,
             peers,
             collector: Collector::default(),
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -262,9 +262,11 @@
 
 fn error_type(cause: Cause) -> &'static str {
     match cause {
-        Cause::Unknown | Cause::BadRequest | Cause::KeyMismatch | Cause::OverCost => {
-            "invalid_request_error"
-        }
+        Cause::Unknown
+        | Cause::BadRequest
+        | Cause::KeyMismatch
+        | Cause::OverCost
+        | Cause::CrashesEngines => "invalid_request_error",
         Cause::OverShare => "rate_limit_error",
         Cause::NoCredits => "insufficient_quota",
         _ => "server_error",
@@ -279,7 +281,7 @@
         Cause::BadRequest => 400,
         Cause::OverShare | Cause::NoCredits => 429,
         Cause::KeyInUse => 409,
-        Cause::KeyMismatch | Cause::OverCost => 422,
+        Cause::KeyMismatch | Cause::OverCost | Cause::CrashesEngines => 422,
         Cause::BackendFailed => 502,
         Cause::NoWorker
         | Cause::Overload
