Test the quarantine in fleets of 1, 8 and 300 gateways without a network

Parts at each place but the last, several at once, a fifth of the news lost, crashes for other reasons between (single and a third of the engines at once), restart of 18 of 20 gateways, late news, hostile parts, bounds.

--- a/core/src/gateway/quarantine.rs
+++ b/core/src/gateway/quarantine.rs
@@ -458,7 +458,11 @@
         self.crashes
             .retain(|crash| now.since(crash.at_ms) < EVIDENCE_MS);
         let mut changes = Vec::new();
-        while let Some((parts, crashes, last_at_ms)) = self.strongest() {
+        // Each round explains some crashes.
+        for _ in 0..MAX_CRASHES {
+            let Some((parts, crashes, last_at_ms)) = self.strongest() else {
+                break;
+            };
             changes.push(self.begin(parts, crashes, last_at_ms, now));
         }
         changes
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -7,5 +7,6 @@
 mod load;
 mod pace;
 mod pause;
+mod quarantine;
 mod rollout;
 mod routing;
