Write up the requests that crash engines; list suspects and quarantines for operators

Evidence counts for ten minutes, as long as a term: at one such request a minute three crashes never met within one minute.

--- a/core/src/gateway/quarantine.rs
+++ b/core/src/gateway/quarantine.rs
@@ -36,7 +36,7 @@
 /// to start again.
 const SAME_CRASH_MS: DurationMs = DurationMs(1_000);
 /// How long a crash counts as evidence.
-const EVIDENCE_MS: DurationMs = DurationMs(60_000);
+const EVIDENCE_MS: DurationMs = DurationMs(600_000);
 /// How long a quarantine lasts without another crash.
 const TERM_MS: DurationMs = DurationMs(600_000);
 /// The most times that the term doubles.
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -5,7 +5,7 @@
 use {
     super::{Shared, call::Call, clock::now, link},
     cactusspur_core::gateway::{
-        Choice, CrashReport, PartId, PassReport, QuarantineChange, QuarantineReport, Suspect,
+        Choice, CrashReport, PartId, PassReport, QuarantineChange, QuarantineReport,
     },
     std::{future, rc::Rc},
 };
@@ -136,12 +136,6 @@
     is_refused
 }
 
-/// The suspected and quarantined parts, for operators.
-#[must_use]
-pub fn suspects(shared: &Shared) -> Vec<Suspect> {
-    shared.state.borrow().quarantine.suspects(now())
-}
-
 fn list(parts: &[PartId]) -> String {
     let parts: Vec<String> = parts.iter().map(ToString::to_string).collect();
     parts.join(",")
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{Shared, clock::now, notice::WeightsNotice, state::GatewayState},
-    cactusspur_core::{DurationMs, TimeMs, WeightsVersion, gateway::Backend},
+    cactusspur_core::{
+        DurationMs, TimeMs, WeightsVersion,
+        gateway::{Backend, Suspect},
+    },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -36,6 +39,9 @@
     pub kept_stores: Vec<KeptStoreStatus>,
     /// The number of prompt parts that are assumed to be cached on some server.
     pub cached_parts: usize,
+    /// The prompt parts on which engines crash, or may do so.
+    #[serde(default)]
+    pub suspects: Vec<Suspect>,
     /// The retries that are left in the budget, by service.
     pub repeats_left: Vec<(String, u64)>,
     /// The backend servers.
@@ -117,6 +123,7 @@
             weights: state.weights_notices(now),
             kept_stores: kept_stores(&state),
             cached_parts: state.cached_parts.len(),
+            suspects: state.quarantine.suspects(now),
             repeats_left: state.retry_budget.remaining().collect(),
             backends: state
                 .backends
--- a/src/operator/gateway.rs
+++ b/src/operator/gateway.rs
@@ -6,6 +6,7 @@
         entry_client::{EntryAnswer, fetch_all, print_answers},
     },
     crate::gateway::status::{BackendStatus, GatewayStatus},
+    cactusspur_core::gateway::Suspect,
     std::{io, iter},
 };
 
@@ -53,6 +54,7 @@
         let answers = if store.answers { "answers" } else { "silent" };
         format!("  kept cache     {} {answers}", store.address)
     }));
+    lines.extend(status.suspects.iter().map(describe_suspect));
     let repeats = status.repeats_left.iter();
     lines.extend(repeats.map(|(service, left)| format!("  repeats left   {service} {left}")));
     lines.extend(iter::once(format!(
@@ -63,6 +65,21 @@
     lines
 }
 
+fn describe_suspect(suspect: &Suspect) -> String {
+    let parts: Vec<String> = suspect.parts.iter().map(ToString::to_string).collect();
+    let state = if suspect.is_quarantined {
+        format!("quarantined, {} requests refused here", suspect.refused)
+    } else {
+        "suspected".to_owned()
+    };
+    format!(
+        "  prompt part    {} {state}, {} crashes, the last one {} ms ago",
+        parts.join(" with "),
+        suspect.crashes,
+        suspect.age_ms.0
+    )
+}
+
 fn describe_backend(backend: &BackendStatus) -> String {
     let weights = backend.weights.first().map(|row| row.1.0.to_string());
     let state = match (backend.is_ready, backend.takes_requests) {
