Reset orders that are given up, and take their number when they are sent

Cause: an order that had no answer after 0.5 s was dropped with its connection, and the system went on sending its bytes; the number and the remaining term were taken before the connection was opened; and steps were tasks of their own that outlived the rollout and its term. Class: a value read before a wait and used after it. Change: an order has a connection of its own that is reset when it is dropped; number, term, instance and pause are read once it is open; an order may take no longer than the term's margin; steps belong to the rollout and end with it; orders to one engine go one after the other.

--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -23,7 +23,8 @@
 /// The length of a term. It is short, so that another gateway can take over soon after a holder
 /// fails.
 pub const TERM_MS: DurationMs = DurationMs(1_500);
-/// How long before the end of its term the holder stops: the time that an order may take to arrive.
+/// How long before the end of its term the holder stops: the time that an order may take to arrive. One
+/// that takes longer is reset.
 const SAFETY_MARGIN_MS: DurationMs = DurationMs(300);
 /// The remaining time of a term below which the holder renews it.
 pub const RENEW_BEFORE_MS: DurationMs = DurationMs(700);
@@ -94,6 +95,12 @@
     pub fn remaining_ms(&self) -> DurationMs {
         self.ends_at_ms.since(now_with_suspension())
     }
+
+    /// The time for which an order of this term may still arrive.
+    #[must_use]
+    pub fn arrival_limit_ms(&self) -> DurationMs {
+        self.remaining_ms() + SAFETY_MARGIN_MS
+    }
 }
 
 /// The result of an attempt to acquire or renew the lease.
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -117,7 +117,7 @@
                 },
             }
         }
-        let mut connection = connect(address).await?;
+        let mut connection = connect(address, Closing::Graceful).await?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(UnreadResponse::new(response, connection)),
             Err(mut error) => Err(match error.take_message() {
@@ -267,7 +267,54 @@
     })
 }
 
-async fn connect(address: SocketAddr) -> Result<Connection, ExchangeFailure> {
+/// A connection for a single exchange, which is reset when it is dropped. A system goes on sending what
+/// was written to a connection that is closed, but not to one that is reset: nothing of a request that
+/// was given up arrives later.
+#[derive(Debug)]
+pub struct ResetOnDrop(Connection);
+
+impl ResetOnDrop {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be opened.
+    pub async fn open(address: SocketAddr) -> Result<Self, ExchangeFailure> {
+        connect(address, Closing::Reset).await.map(Self)
+    }
+
+    /// Sends the request and reads the whole response, of at most `max_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks before the response is complete, or the response is longer.
+    pub async fn exchange(
+        mut self,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+    ) -> Result<(http::response::Parts, Bytes), ExchangeFailure> {
+        let response = self.0.sender.send_request(request).await;
+        let (head, body) = response.map_err(|error| may_have_run(&error))?.into_parts();
+        let body = Limited::new(body, max_bytes).collect().await;
+        let body = body.map_err(|error| ExchangeFailure {
+            reason: format!("the response is incomplete or too long: {error}"),
+            verdict: Verdict::MayHaveRun,
+            is_unreachable: false,
+        })?;
+        Ok((head, body.to_bytes()))
+    }
+}
+
+/// How a connection ends when it is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Closing {
+    /// What was written is still delivered.
+    Graceful,
+    /// What has not arrived yet is discarded.
+    Reset,
+}
+
+async fn connect(address: SocketAddr, closing: Closing) -> Result<Connection, ExchangeFailure> {
     let unreachable = |reason: String| ExchangeFailure {
         reason,
         verdict: Verdict::NotRun,
@@ -278,6 +325,11 @@
         .map_err(|_| unreachable("connection timed out".to_owned()))?
         .map_err(|error| unreachable(format!("failed to connect: {error}")))?;
     set_socket_options(&stream);
+    if closing == Closing::Reset {
+        SockRef::from(&stream)
+            .set_linger(Some(Duration::ZERO))
+            .map_err(|error| unreachable(format!("failed to set a socket option: {error}")))?;
+    }
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
--- a/src/gateway/weights.rs
+++ b/src/gateway/weights.rs
@@ -5,6 +5,7 @@
         Shared,
         clock::now,
         lease::{self, Acquired, Candidate, RENEW_BEFORE_MS, Term},
+        link::ResetOnDrop,
         notice::RolloutNotice,
         protocol::{OrderAnswer, WeightsOrder},
         state::SentTo,
@@ -14,7 +15,8 @@
         DurationMs, TimeMs, WeightsVersion, WorkerId,
         gateway::{OrderState, Rollout, RolloutEngine, RolloutStep},
     },
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    futures::{StreamExt, stream::FuturesUnordered},
+    std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
@@ -177,17 +179,19 @@
 where
     S: MetadataStore,
 {
-    let mut term = term;
+    let term = Rc::new(Cell::new(term));
     let Some(version) = newest(shared, model) else {
         return;
     };
     let mut rollout = Rollout::new(version);
     let mut announcer = Announcer { last_sent: None };
-    let (outcomes, mut received_outcomes) = tokio::sync::mpsc::unbounded_channel();
+    // Steps end with the rollout: none may send an order after it.
+    let mut steps = FuturesUnordered::new();
+    let mut ordering: Vec<WorkerId> = Vec::new();
     tracing::info!(
         model,
         version = version.0,
-        fencing = term.fencing.0,
+        fencing = term.get().fencing.0,
         "rollout started"
     );
     loop {
@@ -198,29 +202,37 @@
         if rollout.is_done() {
             break;
         }
-        if term.remaining_ms() < RENEW_BEFORE_MS {
-            match renew(shared, store, &term).await {
-                Some(Acquired::Held(renewed)) => term = renewed,
+        if term.get().remaining_ms() < RENEW_BEFORE_MS {
+            match renew(shared, store, &term.get()).await {
+                Some(Acquired::Held(renewed)) => term.set(renewed),
                 // A write whose response was lost may have changed the row's version.
                 Some(Acquired::Taken { .. }) | None => break,
             }
         }
         announcer.announce(shared, model, &rollout);
         for action in rollout.next_steps(now()) {
+            if let RolloutStep::Order { worker, .. } = action {
+                // Orders to one engine go one after the other.
+                if ordering.contains(&worker) {
+                    rollout.record_failed(worker, now());
+                    continue;
+                }
+                ordering.push(worker);
+            }
             let step = Step {
                 shared: Rc::clone(shared),
                 model: model.to_owned(),
-                term,
+                term: Rc::clone(&term),
                 action,
             };
-            let outcomes = outcomes.clone();
-            ntex::rt::spawn(async move {
-                let outcome = step.carry_out().await;
-                // The receiver is gone if the rollout has ended.
-                let _ = outcomes.send(outcome);
-            });
+            steps.push(async move { (action, step.carry_out().await) });
         }
-        if let Ok(Some(outcome)) = timeout(STEP_PERIOD, received_outcomes.recv()).await {
+        if steps.is_empty() {
+            sleep(STEP_PERIOD).await;
+        } else if let Ok(Some((action, outcome))) = timeout(STEP_PERIOD, steps.next()).await {
+            if let RolloutStep::Order { worker, .. } = action {
+                ordering.retain(|other| *other != worker);
+            }
             record_outcome(&mut rollout, outcome);
         }
     }
@@ -360,7 +372,8 @@
 struct Step {
     shared: Rc<Shared>,
     model: String,
-    term: Term,
+    /// The current term, which is renewed while the step waits.
+    term: Rc<Cell<Term>>,
     action: RolloutStep,
 }
 
@@ -381,10 +394,23 @@
     }
 
     async fn order(&self, worker: WorkerId, version: WeightsVersion, accepted: u64) -> Outcome {
-        let Some((address, instance)) = target(&self.shared, worker) else {
+        let Some((address, _)) = target(&self.shared, worker) else {
+            return Outcome::Failed(worker);
+        };
+        let connection = match ResetOnDrop::open(address).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                tracing::info!(%worker, %error, "failed to send an order to load weights");
+                return Outcome::Failed(worker);
+            }
+        };
+        // The engine, the term and its number may have changed while the connection was opened.
+        let current = target(&self.shared, worker);
+        let Some((_, instance)) = current.filter(|row| row.0 == address) else {
             return Outcome::Failed(worker);
         };
-        if self.term.remaining_ms() == DurationMs(0) {
+        let term = self.term.get();
+        if term.remaining_ms() == DurationMs(0) {
             return Outcome::Failed(worker);
         }
         let order = WeightsOrder {
@@ -392,25 +418,33 @@
             model: &self.model,
             version,
             holder: &self.shared.settings.name,
-            fencing: self.term.fencing,
+            fencing: term.fencing,
             accepted,
         };
         let request = self.shared.protocol.weights_order_request(&order);
         let sent = self.shared.state.borrow().sent_to(worker, now());
-        let connection_pool = &self.shared.connection_pool;
-        let exchange =
-            connection_pool.exchange(address, request, MAX_RESPONSE_BYTES, RESPONSE_TIMEOUT);
-        let response = exchange.await;
-        let status = response.ok().map(|(head, _)| {
-            record_signals(&self.shared, worker, &head, sent);
-            head.status.as_u16()
-        });
+        let limit = RESPONSE_TIMEOUT.min(Duration::from_millis(term.arrival_limit_ms().0));
+        let exchange = timeout(limit, connection.exchange(request, MAX_RESPONSE_BYTES)).await;
+        let status = match exchange {
+            Ok(Ok((head, _))) => {
+                record_signals(&self.shared, worker, &head, sent);
+                Some(head.status.as_u16())
+            }
+            Ok(Err(error)) => {
+                tracing::info!(%worker, %error, "no answer to an order to load weights");
+                None
+            }
+            Err(_) => {
+                tracing::info!(%worker, waited_ms = limit.as_millis(), "an order was given up");
+                None
+            }
+        };
         tracing::info!(
             backend = instance,
             model = self.model,
             version = version.0,
             accepted,
-            fencing = self.term.fencing.0,
+            fencing = term.fencing.0,
             status,
             "sent an order to load weights"
         );
