Answer requests of the last moment in a planned stop

Callers saw connections end without an answer: those in the listen queue, and those accepted but not read yet, when connections were closed 3 s after SIGTERM. Cause: the listener was dropped with its queue, and hyper closes a connection that has carried nothing yet at once in a graceful shutdown. Change: connections are accepted until none is open, then the queue is emptied; one without a request is given up to a second for its first one.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -35,7 +35,7 @@
         clock::now, link::ConnectionPool, peers::PeerGroup, protocol::PlatformProtocol,
         state::GatewayState, store::MetadataStore,
     },
-    cactusspur_core::{DurationMs, gateway::RetryBudgetLimits},
+    cactusspur_core::{DurationMs, TimeMs, gateway::RetryBudgetLimits},
     derive_more::Display,
     error_stack::Report,
     std::{
@@ -178,8 +178,9 @@
         Ok(Self { shared, server })
     }
 
-    /// Fails readiness checks, then stops accepting connections. Returns when no connection is
-    /// open and no rollout is running, or shortly before the end of the grace period.
+    /// Fails readiness checks, then closes connections after their requests, and stops accepting them
+    /// once none is open. Returns when no rollout is running either, or shortly before the end of the
+    /// grace period.
     pub async fn shut_down(&self) {
         let started_at_ms = now();
         self.shared.is_stopping.set(true);
@@ -188,14 +189,23 @@
         let grace_ms = self.shared.settings.grace_ms;
         tracing::info!(grace_ms = grace_ms.0, "shutting down");
         sleep(UNREADY_DELAY).await;
-        self.server.stop_accepting();
+        self.server.close_connections();
         let limit_ms = grace_ms.saturating_sub(GRACE_MARGIN_MS);
-        while (self.server.open_connections() > 0 || self.shared.is_rolling_out.get())
-            && now().since(started_at_ms) < limit_ms
-        {
-            sleep(DRAIN_POLL_PERIOD).await;
-        }
+        self.wait_until_idle(started_at_ms.after(limit_ms)).await;
+        // Some connections may have been in the listen queue.
+        self.server.stop_accepting();
+        self.wait_until_idle(started_at_ms.after(limit_ms)).await;
         let cut = self.server.open_connections();
         tracing::info!(cut, took_ms = now().since(started_at_ms).0, "stopped");
     }
+
+    async fn wait_until_idle(&self, limit: TimeMs) {
+        loop {
+            sleep(DRAIN_POLL_PERIOD).await;
+            let is_idle = self.server.open_connections() == 0 && !self.shared.is_rolling_out.get();
+            if is_idle || now() >= limit {
+                return;
+            }
+        }
+    }
 }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -12,7 +12,7 @@
     tokio::{
         net::{TcpListener, TcpStream},
         sync::watch,
-        time::sleep,
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -26,10 +26,25 @@
 /// The delay before accepting again after an error of `accept`, such as too many open files.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
+/// How long a connection that has carried no request yet is kept open during shutdown. Callers give up
+/// a request that isn't read within a second.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The phases of the server for callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    /// Connections are accepted and kept open between requests.
+    Serving,
+    /// Connections are still accepted, and closed after a request.
+    Closing,
+    /// No more connections are accepted.
+    Stopped,
+}
+
 /// The running HTTP server for callers.
 pub struct CallerServer {
     connections: Rc<Cell<usize>>,
-    stop: watch::Sender<bool>,
+    phase: watch::Sender<Phase>,
 }
 
 impl CallerServer {
@@ -40,20 +55,26 @@
     /// When the address can't be bound.
     pub async fn bind(shared: &Rc<Shared>) -> Result<Self, Report<GatewayError>> {
         let listener = listen(shared.settings.callers_address).await?;
-        let (stop, stopped) = watch::channel(false);
+        let (phase, phases) = watch::channel(Phase::Serving);
         let connections = Rc::new(Cell::new(0));
         ntex::rt::spawn(accept(
             Rc::clone(shared),
             listener,
             Rc::clone(&connections),
-            stopped,
+            phases,
         ));
-        Ok(Self { connections, stop })
+        Ok(Self { connections, phase })
+    }
+
+    /// Closes each connection after its request in progress, and each that is accepted from now on after
+    /// its first one.
+    pub fn close_connections(&self) {
+        self.phase.send_replace(Phase::Closing);
     }
 
-    /// Stops accepting connections, and closes each open one after its request in progress.
+    /// Accepts the connections that wait in the listen queue, and no more.
     pub fn stop_accepting(&self) {
-        self.stop.send_replace(true);
+        self.phase.send_replace(Phase::Stopped);
     }
 
     /// The number of open connections.
@@ -74,19 +95,21 @@
     shared: Rc<Shared>,
     listener: TcpListener,
     connections: Rc<Cell<usize>>,
-    stopped: watch::Receiver<bool>,
+    phases: watch::Receiver<Phase>,
 ) {
-    let mut stop = stopped.clone();
+    let mut stop = phases.clone();
     loop {
+        // Callers may have sent requests on the connections in the queue.
         let accepted = tokio::select! {
-            _ = stop.changed() => return,
+            biased;
             accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|phase| *phase == Phase::Stopped) => return,
         };
         match accepted {
             Ok((stream, _)) => {
                 connections.set(connections.get() + 1);
                 let connections = Rc::clone(&connections);
-                let serving = serve(Rc::clone(&shared), stream, stopped.clone());
+                let serving = serve(Rc::clone(&shared), stream, phases.clone());
                 ntex::rt::spawn(async move {
                     serving.await;
                     connections.set(connections.get() - 1);
@@ -102,12 +125,14 @@
 
 /// Serves the requests of one caller's connection, under the limits that are configured when it is
 /// accepted.
-async fn serve(shared: Rc<Shared>, stream: TcpStream, mut stopped: watch::Receiver<bool>) {
+async fn serve(shared: Rc<Shared>, stream: TcpStream, phases: watch::Receiver<Phase>) {
     link::set_socket_options(&stream);
     let limits = shared.state.borrow().routing.as_ref().map(|r| r.limits);
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| Duration::from_millis(l.idle_ms.0));
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |l| l.max_head_bytes);
+    let (has_request, first_request) = watch::channel(false);
     let service = service_fn(|request: Request<Incoming>| {
+        has_request.send_replace(true);
         let shared = Rc::clone(&shared);
         async move {
             let mut response = forward::serve(Rc::clone(&shared), request).await;
@@ -126,8 +151,9 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let result = tokio::select! {
+        biased;
         result = connection.as_mut() => result,
-        _ = stopped.wait_for(|stopped| *stopped) => {
+        () = wait_to_close(phases, first_request) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -137,6 +163,25 @@
     }
 }
 
+/// Waits until a connection must be closed after its request in progress. One that was just opened may
+/// carry its first request first.
+async fn wait_to_close(mut phases: watch::Receiver<Phase>, mut has_request: watch::Receiver<bool>) {
+    let opened_at = Instant::now();
+    if phases
+        .wait_for(|phase| *phase != Phase::Serving)
+        .await
+        .is_err()
+    {
+        tracing::debug!("the server has ended; closing its connection");
+        return;
+    }
+    let left = FIRST_REQUEST_TIMEOUT.saturating_sub(opened_at.elapsed());
+    let first = timeout(left, has_request.wait_for(|has_request| *has_request));
+    if first.await.is_err() {
+        tracing::debug!("closing a connection without a request");
+    }
+}
+
 /// Starts the server for readiness checks. It answers 200 while the gateway is ready, and 503
 /// otherwise.
 ///
