Count only complete events as signs of life of a resumable stream

A stalled stream that sent a byte now and then was neither resumed elsewhere nor ended before the caller's deadline: each frame restarted the limit on silence, and cancelled an attempt to resume. Change: the limit runs from the last event, and bytes that complete none leave an attempt to resume alone. The time in which a slow caller reads doesn't count.

--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -41,6 +41,12 @@
         Ok(())
     }
 
+    /// Whether the buffer holds a complete event.
+    #[must_use]
+    pub fn has_event(&self) -> bool {
+        find_end(&self.buffer, self.searched_bytes).is_some()
+    }
+
     /// Whether the buffer holds bytes that have not been yielded, such as those of an incomplete
     /// event.
     #[must_use]
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,7 +6,7 @@
         Shared,
         call::{Call, InFlightRequest},
         clock::now,
-        event_stream::EventReader,
+        event_stream::{EventReader, EventTooLarge},
         forward,
         link::{Connection, UnreadResponse},
         quarantine,
@@ -21,7 +21,7 @@
     http::{Response, header},
     http_body_util::BodyExt,
     hyper::body::{Frame, Incoming},
-    std::{rc::Rc, time::Duration},
+    std::{pin::pin, rc::Rc, time::Duration},
     tokio::{sync::mpsc, time::timeout},
 };
 
@@ -78,6 +78,8 @@
     reader: EventReader,
     /// Whether this server has sent an event.
     has_events: bool,
+    /// When the last event arrived, or the answer began.
+    silent_since_ms: TimeMs,
     /// Whether the body has a length or chunks, so that its end is known.
     is_framed: bool,
 }
@@ -96,6 +98,7 @@
             in_flight,
             reader: EventReader::default(),
             has_events: false,
+            silent_since_ms: now(),
         }
     }
 }
@@ -116,8 +119,12 @@
 
 /// The outcome of waiting on a silent source.
 enum SilenceOutcome {
-    /// The silent source delivered a frame, an error or its end.
-    Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// The silent source delivered a complete event.
+    Events,
+    /// The silent source delivered an error or its end.
+    Ended(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// The silent source delivered too long an event.
+    TooLarge(EventTooLarge),
     /// The contained source resumes the stream.
     TakenOver(Box<Source>),
     /// No other server can resume the stream.
@@ -220,9 +227,19 @@
                 Ok(frame) => frame,
                 Err(_) if !self.may_resume() => return SourceEnd::Broken("timed out".to_owned()),
                 Err(_) => match self.wait_or_resume(source).await {
-                    SilenceOutcome::Frame(frame) => frame,
+                    SilenceOutcome::Events => {
+                        if !self.send_events(source).await {
+                            return SourceEnd::CallerLeft;
+                        }
+                        continue;
+                    }
+                    SilenceOutcome::Ended(frame) => frame,
+                    SilenceOutcome::TooLarge(error) => return SourceEnd::Broken(error.to_string()),
                     SilenceOutcome::TakenOver(next) => return SourceEnd::TakenOver(next),
-                    SilenceOutcome::NoReplacement => continue,
+                    SilenceOutcome::NoReplacement => {
+                        source.silent_since_ms = now();
+                        continue;
+                    }
                 },
             };
             let frame = match frame {
@@ -249,12 +266,29 @@
         }
     }
 
-    /// Waits for the silent source and tries to resume the stream elsewhere at the same time; the first
-    /// to succeed wins. The silent source stays open until then, since it may still continue.
+    /// Waits for an event of the silent source and tries to resume the stream elsewhere at the same time;
+    /// the first to succeed wins. The silent source stays open until then, since it may still continue.
     async fn wait_or_resume(&mut self, source: &mut Source) -> SilenceOutcome {
-        tokio::select! {
-            frame = source.body.frame() => SilenceOutcome::Frame(frame),
-            next = self.resume() => next.map_or(SilenceOutcome::NoReplacement, |next| SilenceOutcome::TakenOver(Box::new(next))),
+        let mut resumed = pin!(self.resume());
+        loop {
+            let frame = tokio::select! {
+                frame = source.body.frame() => frame,
+                next = resumed.as_mut() => return next.map_or(
+                    SilenceOutcome::NoReplacement,
+                    |next| SilenceOutcome::TakenOver(Box::new(next)),
+                ),
+            };
+            let Some(Ok(frame)) = frame else {
+                return SilenceOutcome::Ended(frame);
+            };
+            // Bytes that complete no event don't show that the stream goes on.
+            let pushed = frame.into_data().map(|bytes| source.reader.push(&bytes));
+            if let Ok(Err(error)) = pushed {
+                return SilenceOutcome::TooLarge(error);
+            }
+            if source.reader.has_event() {
+                return SilenceOutcome::Events;
+            }
         }
     }
 
@@ -271,6 +305,7 @@
                 self.log(source.choice.worker, "first event");
             }
             let now = now();
+            source.silent_since_ms = now;
             if self.event_count > 0 {
                 let gap_ms = now.since(self.last_event_at_ms);
                 self.longest_gap_ms = self.longest_gap_ms.max(gap_ms);
@@ -288,11 +323,13 @@
             if self.sender.send(Ok(event.bytes)).await.is_err() {
                 return false;
             }
+            // While a slow caller reads, nothing is read from the server.
+            source.silent_since_ms = self::now();
         }
         true
     }
 
-    /// How long the source may be silent, or `None` when the time for the response is over. A
+    /// How long the source may go on without an event, or `None` when the time for the response is over. A
     /// stream that can't be resumed may be silent until then.
     fn silence_limit(&self, source: &Source) -> Option<Duration> {
         let remaining_ms = self.call.remaining_ms().0;
@@ -313,7 +350,9 @@
                 .unwrap_or(self.call.route.target_ms);
             gap_ms.0 * MAX_SILENT_GAPS
         };
-        Some(Duration::from_millis(remaining_ms.min(max_silence_ms)))
+        let silent_ms = now().since(source.silent_since_ms).0;
+        let left_ms = max_silence_ms.saturating_sub(silent_ms);
+        Some(Duration::from_millis(remaining_ms.min(left_ms)))
     }
 
     /// Whether the stream is resumable and may be sent to another server.
