Bound what answers without end take, and how long they hold others up

An entry VM of 88 MB would have ended: 200 answers in one piece without end were buffered up to 4 MiB each. Change: a response may buffer 64 KiB, and more only while all together buffer less than 16 MiB; an event of a stream at most 64 KiB; a connection fails after 64 KiB that complete neither a head nor a piece of a body, such as a chunk size or informational heads without end.

--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// The largest event, in bytes. Larger ones suggest that the body isn't an event stream.
-const MAX_EVENT_BYTES: usize = 262_144;
+const MAX_EVENT_BYTES: usize = 65_536;
 
 /// One complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -5,20 +5,32 @@
 
 use {
     crate::gateway::clock::now,
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     cactusspur_core::{DurationMs, TimeMs, VecMap, Verdict},
     derive_more::{Display, Error},
     futures::future::{AbortHandle, abortable},
     http::{Request, Response, header},
-    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    http_body_util::{BodyExt, Full, Limited},
     hyper::{
         body::Incoming,
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
-    std::{cell::RefCell, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
-    tokio::{net::TcpStream, time::timeout},
+    std::{
+        cell::{Cell, RefCell},
+        io::{self, ErrorKind, IoSlice},
+        net::SocketAddr,
+        pin::Pin,
+        rc::Rc,
+        task::{Context, Poll},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+        time::timeout,
+    },
 };
 
 /// The timeout for opening a connection. Round trips take a few milliseconds, and the system
@@ -37,6 +49,13 @@
 const IDLE_MARGIN_MS: DurationMs = DurationMs(1_000);
 /// The largest head of a response.
 const MAX_HEAD_BYTES: usize = 16_384;
+/// The bytes that a server may send without completing a head or a piece of a body, as with chunk sizes
+/// or informational heads that don't end.
+const MAX_BYTES_WITHOUT_PROGRESS: usize = 65_536;
+/// The bytes that each response may buffer, however many others there are.
+pub const MAX_UNSHARED_BUFFER_BYTES: usize = 65_536;
+/// The bytes that all responses may buffer together beyond that.
+pub const MAX_SHARED_BUFFER_BYTES: usize = 16 * 1_024 * 1_024;
 
 /// Why an exchange failed, and whether the request may have run.
 #[derive(Clone, Debug, Display, Error)]
@@ -56,6 +75,69 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver_handle: AbortHandle,
+    bytes_without_progress: Rc<Cell<usize>>,
+}
+
+impl Connection {
+    /// Records that the server has completed a head or a piece of a body.
+    pub fn record_progress(&self) {
+        self.bytes_without_progress.set(0);
+    }
+}
+
+/// A stream that fails when its peer sends too much without progress.
+struct MeteredStream {
+    stream: TcpStream,
+    bytes_without_progress: Rc<Cell<usize>>,
+}
+
+impl AsyncRead for MeteredStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let count = &this.bytes_without_progress;
+        if count.get() > MAX_BYTES_WITHOUT_PROGRESS {
+            let error = "too many bytes that complete nothing";
+            return Poll::Ready(Err(io::Error::new(ErrorKind::InvalidData, error)));
+        }
+        let length = buffer.filled().len();
+        let read = Pin::new(&mut this.stream).poll_read(context, buffer);
+        count.set(count.get() + buffer.filled().len() - length);
+        read
+    }
+}
+
+impl AsyncWrite for MeteredStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
 }
 
 impl Drop for Connection {
@@ -74,6 +156,36 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionPool {
     idle: Rc<RefCell<VecMap<SocketAddr, Vec<IdleConnection>>>>,
+    buffered_bytes: Rc<Cell<usize>>,
+}
+
+/// The bytes of a body that are buffered while it is read.
+struct BodyBuffer {
+    bytes: BytesMut,
+    total: Rc<Cell<usize>>,
+}
+
+impl BodyBuffer {
+    fn push(&mut self, data: &[u8], max_bytes: usize) -> Result<(), String> {
+        self.bytes.extend_from_slice(data);
+        self.total.set(self.total.get() + data.len());
+        let length = self.bytes.len();
+        if length > max_bytes {
+            return Err(format!("the response is longer than {max_bytes} bytes"));
+        }
+        if length > MAX_UNSHARED_BUFFER_BYTES && self.total.get() > MAX_SHARED_BUFFER_BYTES {
+            return Err(format!(
+                "no room for more than {length} bytes of the response"
+            ));
+        }
+        Ok(())
+    }
+}
+
+impl Drop for BodyBuffer {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.bytes.len());
+    }
 }
 
 /// A response whose body has not been read yet.
@@ -94,6 +206,12 @@
         Self::default()
     }
 
+    /// The bytes of responses that are buffered while they are read.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffered_bytes.get()
+    }
+
     /// Sends a request and waits for the head of the response. Dropping the future closes the
     /// connection.
     ///
@@ -200,6 +318,7 @@
 impl UnreadResponse {
     fn new(response: Response<Incoming>, connection: Connection) -> Self {
         let (head, body) = response.into_parts();
+        connection.record_progress();
         let keep_ms = keep_ms(&head);
         Self {
             head,
@@ -213,27 +332,33 @@
     ///
     /// # Errors
     ///
-    /// Fails if the body is incomplete or longer than `max_bytes`.
+    /// Fails if the body is incomplete or longer than `max_bytes`, or if it is long and too much is
+    /// buffered for others.
     pub async fn read(
         self,
         pool: &ConnectionPool,
         max_bytes: usize,
     ) -> Result<(http::response::Parts, Bytes), ExchangeFailure> {
-        let body = Limited::new(self.body, max_bytes).collect().await;
-        let body = body.map_err(|error| {
-            let reason = if error.is::<LengthLimitError>() {
-                format!("the response is longer than {max_bytes} bytes")
-            } else {
-                format!("the response ended early: {error}")
-            };
-            ExchangeFailure {
-                reason,
-                verdict: Verdict::MayHaveRun,
-                is_unreachable: false,
+        let broken = |reason: String| ExchangeFailure {
+            reason,
+            verdict: Verdict::MayHaveRun,
+            is_unreachable: false,
+        };
+        let mut body = self.body;
+        let mut buffer = BodyBuffer {
+            bytes: BytesMut::new(),
+            total: Rc::clone(&pool.buffered_bytes),
+        };
+        while let Some(frame) = body.frame().await {
+            let frame =
+                frame.map_err(|error| broken(format!("the response ended early: {error}")))?;
+            self.connection.record_progress();
+            if let Ok(data) = frame.into_data() {
+                buffer.push(&data, max_bytes).map_err(broken)?;
             }
-        })?;
+        }
         pool.release(self.connection, self.keep_ms);
-        Ok((self.head, body.to_bytes()))
+        Ok((self.head, Bytes::copy_from_slice(&buffer.bytes)))
     }
 
     /// Splits the response into head, body, connection and keep time, for a body that is read as a
@@ -330,9 +455,13 @@
             .set_linger(Some(Duration::ZERO))
             .map_err(|error| unreachable(format!("failed to set a socket option: {error}")))?;
     }
+    let bytes_without_progress = Rc::new(Cell::new(0));
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(MeteredStream {
+            stream,
+            bytes_without_progress: Rc::clone(&bytes_without_progress),
+        }))
         .await;
     let (sender, driver) = handshake.map_err(|error| unreachable(error.to_string()))?;
     let (driver, driver_handle) = abortable(async move {
@@ -345,6 +474,7 @@
         address,
         sender,
         driver_handle,
+        bytes_without_progress,
     })
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -254,6 +254,7 @@
                 }
                 None => return SourceEnd::Complete,
             };
+            source.connection.record_progress();
             let Ok(bytes) = frame.into_data() else {
                 continue;
             };
@@ -281,6 +282,7 @@
             let Some(Ok(frame)) = frame else {
                 return SilenceOutcome::Ended(frame);
             };
+            source.connection.record_progress();
             // Bytes that complete no event don't show that the stream goes on.
             let pushed = frame.into_data().map(|bytes| source.reader.push(&bytes));
             if let Ok(Err(error)) = pushed {
