Stop accepting three seconds after SIGTERM again, and refuse requests that come later

Cause: since connections were accepted until none was open, callers went on opening them and their requests were cut off at the end of the grace period. Change: at three seconds the listen queue is emptied and the listener closed; a first request that is read more than 200 ms later is refused as not run.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -103,6 +103,8 @@
     pub peers: PeerGroup,
     /// Whether the gateway is shutting down.
     pub is_stopping: Cell<bool>,
+    /// When the gateway began to close connections, in a shutdown.
+    pub closing_since_ms: Cell<Option<TimeMs>>,
     /// Whether the gateway holds the order lease and is rolling out weights.
     pub is_rolling_out: Cell<bool>,
     /// Notified when the store has returned from a backup.
@@ -160,6 +162,7 @@
             state: RefCell::new(state),
             peers,
             is_stopping: Cell::new(false),
+            closing_since_ms: Cell::new(None),
             is_rolling_out: Cell::new(false),
             store_restored: Notify::new(),
             store_answers: Notify::new(),
@@ -178,9 +181,8 @@
         Ok(Self { shared, server })
     }
 
-    /// Fails readiness checks, then closes connections after their requests, and stops accepting them
-    /// once none is open. Returns when no rollout is running either, or shortly before the end of the
-    /// grace period.
+    /// Fails readiness checks, then stops accepting connections. Returns when no connection is
+    /// open and no rollout is running, or shortly before the end of the grace period.
     pub async fn shut_down(&self) {
         let started_at_ms = now();
         self.shared.is_stopping.set(true);
@@ -189,23 +191,17 @@
         let grace_ms = self.shared.settings.grace_ms;
         tracing::info!(grace_ms = grace_ms.0, "shutting down");
         sleep(UNREADY_DELAY).await;
-        self.server.close_connections();
-        let limit_ms = grace_ms.saturating_sub(GRACE_MARGIN_MS);
-        self.wait_until_idle(started_at_ms.after(limit_ms)).await;
-        // Some connections may have been in the listen queue.
+        self.shared.closing_since_ms.set(Some(now()));
         self.server.stop_accepting();
-        self.wait_until_idle(started_at_ms.after(limit_ms)).await;
-        let cut = self.server.open_connections();
-        tracing::info!(cut, took_ms = now().since(started_at_ms).0, "stopped");
-    }
-
-    async fn wait_until_idle(&self, limit: TimeMs) {
+        let limit_ms = grace_ms.saturating_sub(GRACE_MARGIN_MS);
         loop {
             sleep(DRAIN_POLL_PERIOD).await;
             let is_idle = self.server.open_connections() == 0 && !self.shared.is_rolling_out.get();
-            if is_idle || now() >= limit {
-                return;
+            if is_idle || now().since(started_at_ms) >= limit_ms {
+                break;
             }
         }
+        let cut = self.server.open_connections();
+        tracing::info!(cut, took_ms = now().since(started_at_ms).0, "stopped");
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -26,6 +26,9 @@
 /// `Retry-After` of an entry VM that has no configuration yet: about the time that it takes to load
 /// one.
 const NOT_READY_RETRY_AFTER_MS: DurationMs = DurationMs(400);
+/// How long after connections are closed in a shutdown a first request on one is still served. A later
+/// one might not end within the grace period.
+const LATE_REQUEST_MS: DurationMs = DurationMs(200);
 /// The largest body of a response that isn't streamed, in bytes.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 4 * 1_024 * 1_024;
 /// Failed connection attempts that are permitted for one request. They don't count as sends.
@@ -47,6 +50,20 @@
             return response::empty(StatusCode::BAD_REQUEST);
         }
     };
+    let closing_since_ms = shared.closing_since_ms.get();
+    if closing_since_ms.is_some_and(|at_ms| received_at_ms.since(at_ms) > LATE_REQUEST_MS) {
+        let refusal = Refusal {
+            verdict: Verdict::NotRun,
+            cause: Cause::ShuttingDown,
+            retry_after_ms: DurationMs(0),
+        };
+        return refuse(
+            &head.request_id,
+            "",
+            &refusal,
+            "the gateway is shutting down",
+        );
+    }
     let Some(routing) = ready_routing(&shared) else {
         let refusal = Refusal {
             verdict: Verdict::NotRun,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -30,21 +30,10 @@
 /// a request that isn't read within a second.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The phases of the server for callers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Phase {
-    /// Connections are accepted and kept open between requests.
-    Serving,
-    /// Connections are still accepted, and closed after a request.
-    Closing,
-    /// No more connections are accepted.
-    Stopped,
-}
-
 /// The running HTTP server for callers.
 pub struct CallerServer {
     connections: Rc<Cell<usize>>,
-    phase: watch::Sender<Phase>,
+    stop: watch::Sender<bool>,
 }
 
 impl CallerServer {
@@ -55,26 +44,21 @@
     /// When the address can't be bound.
     pub async fn bind(shared: &Rc<Shared>) -> Result<Self, Report<GatewayError>> {
         let listener = listen(shared.settings.callers_address).await?;
-        let (phase, phases) = watch::channel(Phase::Serving);
+        let (stop, stopped) = watch::channel(false);
         let connections = Rc::new(Cell::new(0));
         ntex::rt::spawn(accept(
             Rc::clone(shared),
             listener,
             Rc::clone(&connections),
-            phases,
+            stopped,
         ));
-        Ok(Self { connections, phase })
+        Ok(Self { connections, stop })
     }
 
-    /// Closes each connection after its request in progress, and each that is accepted from now on after
-    /// its first one.
-    pub fn close_connections(&self) {
-        self.phase.send_replace(Phase::Closing);
-    }
-
-    /// Accepts the connections that wait in the listen queue, and no more.
+    /// Accepts the connections that wait in the listen queue and no more, and closes each open one after
+    /// its request in progress. One that was just opened may carry its first request first.
     pub fn stop_accepting(&self) {
-        self.phase.send_replace(Phase::Stopped);
+        self.stop.send_replace(true);
     }
 
     /// The number of open connections.
@@ -95,21 +79,21 @@
     shared: Rc<Shared>,
     listener: TcpListener,
     connections: Rc<Cell<usize>>,
-    phases: watch::Receiver<Phase>,
+    stopped: watch::Receiver<bool>,
 ) {
-    let mut stop = phases.clone();
+    let mut stop = stopped.clone();
     loop {
         // Callers may have sent requests on the connections in the queue.
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|phase| *phase == Phase::Stopped) => return,
+            _ = stop.wait_for(|stopped| *stopped) => return,
         };
         match accepted {
             Ok((stream, _)) => {
                 connections.set(connections.get() + 1);
                 let connections = Rc::clone(&connections);
-                let serving = serve(Rc::clone(&shared), stream, phases.clone());
+                let serving = serve(Rc::clone(&shared), stream, stopped.clone());
                 ntex::rt::spawn(async move {
                     serving.await;
                     connections.set(connections.get() - 1);
@@ -125,7 +109,7 @@
 
 /// Serves the requests of one caller's connection, under the limits that are configured when it is
 /// accepted.
-async fn serve(shared: Rc<Shared>, stream: TcpStream, phases: watch::Receiver<Phase>) {
+async fn serve(shared: Rc<Shared>, stream: TcpStream, stopped: watch::Receiver<bool>) {
     link::set_socket_options(&stream);
     let limits = shared.state.borrow().routing.as_ref().map(|r| r.limits);
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| Duration::from_millis(l.idle_ms.0));
@@ -153,7 +137,7 @@
     let result = tokio::select! {
         biased;
         result = connection.as_mut() => result,
-        () = wait_to_close(phases, first_request) => {
+        () = wait_to_close(stopped, first_request) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -165,13 +149,9 @@
 
 /// Waits until a connection must be closed after its request in progress. One that was just opened may
 /// carry its first request first.
-async fn wait_to_close(mut phases: watch::Receiver<Phase>, mut has_request: watch::Receiver<bool>) {
+async fn wait_to_close(mut stopped: watch::Receiver<bool>, mut has_request: watch::Receiver<bool>) {
     let opened_at = Instant::now();
-    if phases
-        .wait_for(|phase| *phase != Phase::Serving)
-        .await
-        .is_err()
-    {
+    if stopped.wait_for(|stopped| *stopped).await.is_err() {
         tracing::debug!("the server has ended; closing its connection");
         return;
     }
