--- a/core/src/gateway/quarantine.rs
+++ b/core/src/gateway/quarantine.rs
@@ -243,6 +243,13 @@
     reported_at_ms: Option<TimeMs>,
 }
 
+impl Pass {
+    fn is_report_due(&self, now: TimeMs) -> bool {
+        let reported_at_ms = self.reported_at_ms;
+        reported_at_ms.is_none_or(|at_ms| now.since(at_ms) >= PASS_REPORT_INTERVAL_MS)
+    }
+}
+
 /// The evidence of one gateway and the quarantines that follow from it.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
@@ -300,10 +307,7 @@
             self.forget_old_passes();
             let pass = self.passes.get_or_insert_with(*part, Pass::default);
             pass.at_ms = pass.at_ms.max(now);
-            let is_due = pass
-                .reported_at_ms
-                .is_none_or(|at| now.since(at) >= PASS_REPORT_INTERVAL_MS);
-            if is_needed && is_due {
+            if is_needed && pass.is_report_due(now) {
                 pass.reported_at_ms = Some(now);
                 reports.push(PassReport {
                     part: *part,
@@ -570,10 +574,7 @@
             let age_ms = now.since(pass.at_ms);
             let mut reported = report.passes.iter().filter(|row| row.part == part);
             let is_known = reported.any(|row| row.age_ms < crash_age_ms || age_ms >= crash_age_ms);
-            let is_due = pass
-                .reported_at_ms
-                .is_none_or(|at| now.since(at) >= PASS_REPORT_INTERVAL_MS);
-            if !is_known && is_due {
+            if !is_known && pass.is_report_due(now) {
                 pass.reported_at_ms = Some(now);
                 reports.push(PassReport { part, age_ms });
             }
