Log the path and a digest of the content of requests that fail

The digest covers method, host, path, customer, body and the shared prompt parts, under the key that gateways share.

--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -32,7 +32,7 @@
     pause::Pause,
     quarantine::{
         CrashReport, PartId, PassReport, Quarantine, QuarantineChange, QuarantineNotice,
-        QuarantineReport, Suspect, shared_parts,
+        QuarantineReport, RequestContent, RequestDigest, Suspect, shared_parts,
     },
     rollout::{OrderState, Rollout, RolloutEngine, RolloutStep},
     routing::{
--- a/core/src/gateway/quarantine.rs
+++ b/core/src/gateway/quarantine.rs
@@ -15,6 +15,10 @@
 //! A quarantine ends when an answer gets past the part, or after [`TERM_MS`] without a crash: then one
 //! request at a time is let through, and a single crash begins a term twice as long.
 
+mod identity;
+
+pub use identity::{RequestContent, RequestDigest};
+
 use {
     super::cached::PromptPart,
     crate::{
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -12,11 +12,11 @@
         DurationMs, TimeMs, Verdict, WorkerId,
         gateway::{
             CacheScope, CallKind, Choice, ChoiceContext, CustomerSpec, Fetch, KeptStore, ModelCall,
-            Pace, PartId, PartState, PartUpdate, Route, RoutingTable, choose_model, choose_plain,
-            hash_prefixes, shared_keys, shared_parts,
+            Pace, PartId, PartState, PartUpdate, RequestContent, RequestDigest, Route,
+            RoutingTable, choose_model, choose_plain, hash_prefixes, shared_keys, shared_parts,
         },
     },
-    http::{HeaderMap, Method, Request, Uri},
+    http::{HeaderMap, Method, Request, Uri, uri::PathAndQuery},
     http_body_util::Full,
     std::{cell::Cell, net::SocketAddr, rc::Rc},
 };
@@ -46,6 +46,8 @@
     pub answer_by_ms: TimeMs,
     /// When the caller stops waiting; the route's timeout if the caller sets no deadline.
     pub caller_deadline_ms: TimeMs,
+    /// The identity of the request, which repeats of it share.
+    pub digest: RequestDigest,
     /// The parts of the prompt that other requests may share.
     pub shared_parts: Vec<PartId>,
     lost_starts: Cell<usize>,
@@ -103,7 +105,7 @@
 }
 
 impl Call {
-    /// A call for a request that was admitted. `random` selects the service among the route's splits
+    /// A call for a request that was admitted. `digest_secret` is that of [`RequestDigest::new`]; `random` selects the service among the route's splits
     /// and breaks ties between servers.
     #[must_use]
     pub fn new(
@@ -111,6 +113,7 @@
         routing: Rc<RoutingTable>,
         route: Route,
         customer: Option<CustomerSpec>,
+        digest_secret: &str,
         random: u64,
     ) -> Self {
         let ReceivedRequest {
@@ -123,6 +126,21 @@
         let prompt_parts = head.prompt.as_ref().map(|prompt| &prompt.parts[..]);
         let prefix_hashes = hash_prefixes(prompt_parts.unwrap_or_default());
         let shared_parts = shared_parts(prompt_parts.unwrap_or_default());
+        let host = parts.headers.get(http::header::HOST);
+        let digest = RequestDigest::new(
+            &RequestContent {
+                method: parts.method.as_str(),
+                host: host.and_then(|value| value.to_str().ok()).unwrap_or(""),
+                path: parts
+                    .uri
+                    .path_and_query()
+                    .map_or_else(|| parts.uri.path(), PathAndQuery::as_str),
+                customer: customer.as_ref().map(|customer| customer.name.as_str()),
+                shared_parts: &shared_parts,
+                body: &body,
+            },
+            digest_secret,
+        );
         let service = route.service(random).unwrap_or_default().to_owned();
         Self {
             service,
@@ -137,6 +155,7 @@
             headers: parts.headers,
             body,
             head,
+            digest,
             shared_parts,
             lost_starts: Cell::new(0),
             prefix_hashes,
@@ -169,6 +188,12 @@
         Some(&names[..end])
     }
 
+    /// The path of the request, for the log.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        self.path.path()
+    }
+
     /// The time that remains to answer the request.
     #[must_use]
     pub fn remaining_ms(&self) -> DurationMs {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -100,6 +100,7 @@
         routing,
         route,
         customer,
+        &shared.settings.shared_key,
         rand::random(),
     ));
     shared
@@ -327,7 +328,8 @@
 fn log_failure(call: &Call, choice: &Choice, failure: &AttemptFailure) {
     tracing::info!(
         request = call.head.request_id, route = call.route.name, worker = %choice.worker,
-        verdict = %failure.verdict, what = failure.reason, prompt = call.prompt_names(),
+        path = call.path(), digest = %call.digest, verdict = %failure.verdict, what = failure.reason,
+        prompt = call.prompt_names(),
         after_ms = now().since(call.arrived_at_ms).0, "attempt failed"
     );
     metrics::counter!("cactusspur_failed_tries_total", "route" => call.route.name.clone())
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -417,7 +417,7 @@
     fn log_broken(&self, source: &Source, what: &str) {
         tracing::info!(
             request = self.call.head.request_id, worker = %source.choice.worker,
-            prompt = self.call.prompt_names(), has_events = source.has_events,
+            path = self.call.path(), digest = %self.call.digest, prompt = self.call.prompt_names(), has_events = source.has_events,
             ran_ms = now().since(source.in_flight.sent_to().sent_at_ms).0, what, "stream broken off"
         );
     }
