--- a/core/src/gateway/quarantine.rs
+++ b/core/src/gateway/quarantine.rs
@@ -26,7 +26,8 @@
 pub use {
     evidence::{MIN_CRASHES, MIN_CRASHES_UNLIKELY},
     identity::{
-        Culprit, PartId, RequestContent, RequestDigest, RequestIdentity, Trigger, shared_parts,
+        Culprit, CulpritError, PartId, RequestContent, RequestDigest, RequestIdentity, Trigger,
+        shared_parts,
     },
     report::{
         AccusedRequest, CrashReport, PassReport, QuarantineNotice, QuarantineReport, TrialNotice,
--- a/core/src/gateway/quarantine/identity.rs
+++ b/core/src/gateway/quarantine/identity.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::gateway::cached::PromptPart,
-    derive_more::{Display, From, FromStr, Into},
+    derive_more::{Display, Error, From, Into},
     serde::{Deserialize, Serialize},
+    std::str::FromStr,
     xxhash_rust::xxh3::{Xxh3, xxh3_64},
 };
 
@@ -36,7 +37,7 @@
     Hash,
     Display,
     From,
-    FromStr,
+    derive_more::FromStr,
     Into,
     Serialize,
     Deserialize,
@@ -80,7 +81,7 @@
     Hash,
     Display,
     From,
-    FromStr,
+    derive_more::FromStr,
     Into,
     Serialize,
     Deserialize,
@@ -145,6 +146,28 @@
     Parts(Vec<PartId>),
 }
 
+/// The error of a text that names no [`Culprit`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[display("expected `request ID` or `parts ID,ID`, with ids of 16 hexadecimal digits")]
+pub struct CulpritError;
+
+impl FromStr for Culprit {
+    type Err = CulpritError;
+
+    fn from_str(text: &str) -> Result<Self, CulpritError> {
+        let (kind, ids) = text.trim().split_once(' ').ok_or(CulpritError)?;
+        let ids: Result<Vec<u64>, _> = ids
+            .split(',')
+            .map(|id| u64::from_str_radix(id.trim(), 16))
+            .collect();
+        match (kind, ids.map_err(|_| CulpritError)?.as_slice()) {
+            ("request", [digest]) => Ok(Self::Request(RequestDigest(*digest))),
+            ("parts", ids) => Ok(Self::Parts(ids.iter().copied().map(PartId).collect())),
+            _ => Err(CulpritError),
+        }
+    }
+}
+
 impl Culprit {
     /// Whether it refuses a request.
     #[must_use]
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,10 +1,11 @@
 //! The HTTP servers for callers, for readiness checks, and for metrics and status.
 
 use {
-    super::{GatewayError, Shared, forward, link, response, status::GatewayStatus},
+    super::{GatewayError, Shared, forward, link, quarantine, response, status::GatewayStatus},
     crate::telemetry::init_metrics,
+    cactusspur_core::gateway::Culprit,
     error_stack::{Report, ResultExt},
-    http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header},
+    http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     metrics_exporter_prometheus::PrometheusHandle,
@@ -30,6 +31,9 @@
 /// a request that isn't read within a second.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The path under which an operator ends a quarantine, before the text form of the culprit.
+pub const LIFT_PATH: &str = "/quarantine/lift/";
+
 /// The running HTTP server for callers.
 pub struct CallerServer {
     connections: Rc<Cell<usize>>,
@@ -171,7 +175,7 @@
 pub async fn spawn_readiness(shared: &Rc<Shared>) -> Result<(), Report<GatewayError>> {
     let listener = listen(shared.settings.readiness_address).await?;
     let shared = Rc::clone(shared);
-    ntex::rt::spawn(serve_by_path(listener, move |_| {
+    ntex::rt::spawn(serve_by_path(listener, move |_, _| {
         if shared.is_ready() {
             response::empty(StatusCode::OK)
         } else {
@@ -182,7 +186,8 @@
 }
 
 /// Starts the server for metrics, if the settings name an address for it. It serves
-/// [`GatewayStatus`] as JSON under `/status`, and Prometheus metrics under any other path.
+/// [`GatewayStatus`] as JSON under `/status`, and Prometheus metrics under any other path. A `POST` of the
+/// text form of a [`Culprit`] to [`LIFT_PATH`] ends its quarantine in all gateways.
 ///
 /// # Errors
 ///
@@ -194,7 +199,10 @@
     let listener = listen(address).await?;
     let recorder = init_metrics();
     let shared = Rc::clone(shared);
-    ntex::rt::spawn(serve_by_path(listener, move |path| {
+    ntex::rt::spawn(serve_by_path(listener, move |method, path| {
+        if let Some(culprit) = path.strip_prefix(LIFT_PATH) {
+            return lift(&shared, method, culprit);
+        }
         let body = match path {
             "/status" => status_text(&shared),
             _ => recorder
@@ -206,6 +214,23 @@
     Ok(())
 }
 
+/// Ends the quarantine of the culprit in a path, where `:` stands for the space of its text form.
+fn lift(shared: &Rc<Shared>, method: &Method, culprit: &str) -> Response<response::ResponseBody> {
+    if method != Method::POST {
+        return response::empty(StatusCode::METHOD_NOT_ALLOWED);
+    }
+    match culprit.replace(':', " ").parse::<Culprit>() {
+        Ok(culprit) => {
+            quarantine::lift(shared, &culprit);
+            response::empty(StatusCode::NO_CONTENT)
+        }
+        Err(error) => {
+            tracing::info!(culprit, %error, "rejected an order to end a quarantine");
+            response::empty(StatusCode::BAD_REQUEST)
+        }
+    }
+}
+
 fn status_text(shared: &Shared) -> String {
     match serde_json::to_string(&GatewayStatus::collect(shared)) {
         Ok(text) => text,
@@ -219,7 +244,7 @@
 /// Answers each request on a listener with the response that `respond` returns for its path.
 async fn serve_by_path<F>(listener: TcpListener, respond: F)
 where
-    F: Fn(&str) -> Response<response::ResponseBody> + Clone + 'static,
+    F: Fn(&Method, &str) -> Response<response::ResponseBody> + Clone + 'static,
 {
     loop {
         let stream = match listener.accept().await {
@@ -233,7 +258,7 @@
         let respond = respond.clone();
         ntex::rt::spawn(async move {
             let service = service_fn(move |request: Request<Incoming>| {
-                let response = respond(request.uri().path());
+                let response = respond(request.method(), request.uri().path());
                 async move { Ok::<_, Infallible>(response) }
             });
             let connection = http1::Builder::new()
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -18,6 +18,7 @@
 
 use {
     crate::timeline::RequestName,
+    cactusspur_core::gateway::Culprit,
     clap::{Args, CommandFactory, Parser, Subcommand},
     clap_complete::Shell,
     std::{io, net::SocketAddr, path::PathBuf},
@@ -139,6 +140,9 @@
     /// The metrics address of a gateway; may be given several times.
     #[arg(long, value_name = "IP:PORT", required = true)]
     pub metrics: Vec<SocketAddr>,
+    /// First end this quarantine or suspicion in all gateways, given as the list of crashes names it.
+    #[arg(long, value_name = "request ID|parts ID,ID")]
+    pub lift: Option<Culprit>,
 }
 
 /// The arguments of `timeline`.
--- a/src/operator/entry_client.rs
+++ b/src/operator/entry_client.rs
@@ -87,6 +87,24 @@
     serde_json::from_slice(&body).map_err(|error| failure(error.to_string()))
 }
 
+/// Sends an entry VM an order without a body.
+pub(super) async fn post(address: SocketAddr, path: &str) -> Result<(), Failure> {
+    let failure = |text: String| Failure::Entry(format!("{address}: {text}"));
+    let exchange = async {
+        let client = Client::new().await;
+        let request = client.post(format!("http://{address}{path}"));
+        request.timeout(REQUEST_TIMEOUT).send().await
+    };
+    let answer = timeout(REQUEST_TIMEOUT, exchange).await;
+    let response = answer.map_err(|()| failure("no answer".to_owned()))?;
+    let response = response.map_err(|error| failure(error.to_string()))?;
+    if response.status().is_success() {
+        Ok(())
+    } else {
+        Err(failure(format!("status {}", response.status())))
+    }
+}
+
 /// The address of an entry VM, with its answer or why there is none.
 pub(super) type EntryResult<T> = (SocketAddr, Result<T, Failure>);
 
--- a/src/operator/gateway.rs
+++ b/src/operator/gateway.rs
@@ -3,9 +3,12 @@
 use {
     super::{
         ExitStatus, Failure, GatewayArguments, OutputFormat,
-        entry_client::{EntryAnswer, fetch_all, print_answers},
+        entry_client::{EntryAnswer, fetch_all, post, print_answers},
+    },
+    crate::gateway::{
+        server::LIFT_PATH,
+        status::{BackendStatus, GatewayStatus},
     },
-    crate::gateway::status::{BackendStatus, GatewayStatus},
     cactusspur_core::gateway::Suspect,
     std::{io, iter},
 };
@@ -18,6 +21,12 @@
 where
     W: io::Write,
 {
+    if let Some(culprit) = &arguments.lift {
+        let path = format!("{LIFT_PATH}{}", culprit.to_string().replace(' ', ":"));
+        for address in &arguments.metrics {
+            post(*address, &path).await?;
+        }
+    }
     let results = fetch_all::<GatewayStatus>(&arguments.metrics, "/status").await;
     print_answers(results, format, out, |answers| {
         answers.iter().flat_map(describe).collect()
