Log the software version of servers and what a caller takes up

The adapter decodes the version of a server's row and the Resumes header of a request, for the log only, so that streams resumed by a gateway and those taken up by callers can be counted apart by version.

--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -19,7 +19,7 @@
 
 pub use {
     admission::{TooLate, check_in_time, retry_after},
-    backend::{Backend, BackendSpec, BackendTable, Load},
+    backend::{Backend, BackendSpec, BackendTable, Load, SoftwareVersion},
     budget::{RetryBudget, RetryBudgetLimits},
     cached::{
         CacheScope, CachedParts, PartState, PartUpdate, PromptPart, hash_prefixes,
--- a/core/src/gateway/backend.rs
+++ b/core/src/gateway/backend.rs
@@ -11,6 +11,7 @@
         unit::{DurationMs, TimeMs},
         vec_map::VecMap,
     },
+    derive_more::{Display, From, FromStr},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -31,6 +32,23 @@
 const CONNECT_BACKOFF_MS: DurationMs = DurationMs(700);
 const MAX_CONNECT_BACKOFF_MS: DurationMs = DurationMs(5_600);
 
+/// The version of a server's software, which has no order.
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    From,
+    FromStr,
+    Serialize,
+    Deserialize,
+)]
+pub struct SoftwareVersion(pub String);
+
 /// A backend server's description of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendSpec {
@@ -51,6 +69,8 @@
     pub is_ready: bool,
     /// The weights version of each model that the server has loaded.
     pub weights: Vec<(String, WeightsVersion)>,
+    /// The version of the server's software, if the server names one.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// The load that a backend server reports with an answer.
--- a/core/tests/gateway/fixture.rs
+++ b/core/tests/gateway/fixture.rs
@@ -44,6 +44,7 @@
         slots,
         is_ready: true,
         weights: vec![(MODEL.to_owned(), WeightsVersion(1))],
+        software: None,
     }
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -498,7 +498,9 @@
         predicted_ms = choice.first_token_ms.0,
         occupancy = backend.map(|backend| backend.occupancy(now())),
         load_age_ms = backend.map(|backend| backend.load_age_ms(now()).0),
-        left_ms = call.remaining_ms().0, last_event, "request sent"
+        left_ms = call.remaining_ms().0, last_event, resumes = call.head.resumes,
+        software = backend.and_then(|backend| backend.spec.software.as_ref()).map(tracing::field::display),
+        "request sent"
     );
 }
 
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -26,6 +26,8 @@
     pub prompt: Option<Prompt>,
     /// The id of the last event that the caller received of a stream that it wants resumed.
     pub last_event: Option<u64>,
+    /// The id of the attempt that brought the first event of that stream.
+    pub resumes: Option<String>,
 }
 
 /// A description of a prompt by the ids and lengths of its parts.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -284,7 +284,8 @@
                 self.removed_backends.clear_doubt(worker);
                 tracing::info!(
                     %worker, backend = spec.instance, service = spec.service, address = %spec.address,
-                    is_ready = spec.is_ready, weights = spec.weights.first().map(|row| row.1.0), row_version = %row.version, "backend server listed"
+                    is_ready = spec.is_ready, weights = spec.weights.first().map(|row| row.1.0),
+                    software = spec.software.as_ref().map(tracing::field::display), row_version = %row.version, "backend server listed"
                 );
                 let was_leaving = self
                     .removed_backends
--- a/tests/gateway_state.rs
+++ b/tests/gateway_state.rs
@@ -34,6 +34,7 @@
         slots: 32,
         is_ready: true,
         weights: vec![(MODEL.to_owned(), WeightsVersion(weights))],
+        software: None,
     }
 }
 
--- a/tests/server_limit.rs
+++ b/tests/server_limit.rs
@@ -70,6 +70,7 @@
                 slots: 32,
                 is_ready: true,
                 weights: Vec::new(),
+                software: None,
             });
             let own = OwnIdentity {
                 name: format!("entry-{number}"),
--- a/tests/store_era.rs
+++ b/tests/store_era.rs
@@ -237,6 +237,7 @@
         slots: 8,
         is_ready,
         weights: Vec::new(),
+        software: None,
     }
 }
 
