Keep each stream at the software version that began it

Cause: the version of a server was not decoded, a stream was resumed at any other engine, and only the gateway that began a stream knew where. The class: a choice that is bound by an earlier one is made anew.

The version of the first event is a fact of the call and a bound of the choice, before any cost. Gateways tell each other where streams began, on notices that they send anyway, and at once while a service has several versions. A gateway that doesn't know concludes the version only if the service had a single one for two attempts' time, by its own and others' knowledge, and otherwise asks up to 32 others for 180 ms. Without an answer, or without a server of the version, it refuses (503, not run) and sends nothing.

--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod rollout;
 pub mod routing;
 pub mod send_limit;
+pub mod stream_origin;
 
 pub use {
     admission::{TooLate, check_in_time, retry_after},
@@ -40,4 +41,7 @@
         CallKind, CallerLimits, CustomerSpec, KeptStore, Route, RoutingTable, ServiceSpec, Split,
     },
     send_limit::{LimitShare, RequestRate, RequestRateError, SendLimit},
+    stream_origin::{
+        PastVersion, PastVersions, SoftwareKey, StreamKey, StreamOrigin, StreamOrigins,
+    },
 };
--- a/core/src/gateway/backend.rs
+++ b/core/src/gateway/backend.rs
@@ -5,6 +5,7 @@
         pace::Pace,
         pause::Pause,
         send_limit::{LimitShare, RequestRate, SendLimit},
+        stream_origin::SoftwareKey,
     },
     crate::{
         id::{WeightsVersion, WorkerId},
@@ -73,6 +74,14 @@
     pub software: Option<SoftwareVersion>,
 }
 
+impl BackendSpec {
+    /// The short name of the server's software version.
+    #[must_use]
+    pub fn software_key(&self) -> SoftwareKey {
+        SoftwareKey::new(self.software.as_ref())
+    }
+}
+
 /// The load that a backend server reports with an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -400,6 +409,13 @@
         self.rows.remove(&worker)
     }
 
+    /// The software versions of a service's servers, also of those that take no requests.
+    pub fn software(&self, service: &str) -> impl Iterator<Item = SoftwareKey> {
+        let rows = self.rows.iter().map(|row| &row.1.spec);
+        rows.filter(move |spec| spec.service == service)
+            .map(BackendSpec::software_key)
+    }
+
     /// The server with this id.
     #[must_use]
     pub fn get(&self, worker: WorkerId) -> Option<&Backend> {
--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -7,6 +7,7 @@
         pace::CHUNK_TOKENS,
         prediction::{Candidate, decode_slots, is_permitted, predict, save_target},
         routing::{KeptStore, ServiceSpec},
+        stream_origin::SoftwareKey,
     },
     crate::{
         id::{WeightsVersion, WorkerId},
@@ -95,6 +96,8 @@
     pub tried: &'a [WorkerId],
     /// The only eligible server; `None` if all are eligible.
     pub only: Option<WorkerId>,
+    /// The only eligible software version; `None` if all are.
+    pub software: Option<SoftwareKey>,
     /// The maximum of this entry VM's requests in progress at one server, each of which takes a
     /// connection.
     pub max_in_flight: u64,
@@ -307,10 +310,12 @@
     fn eligible(&'a self, service: &'a str) -> impl Iterator<Item = (WorkerId, &'a Backend)> {
         let max_in_flight = self.max_in_flight;
         let now = self.now;
+        let software = self.software;
         let untried = move |row: &(WorkerId, &Backend)| {
             !self.tried.contains(&row.0)
                 && row.1.in_flight < max_in_flight
                 && row.1.available_at_ms() <= now
+                && software.is_none_or(|software| row.1.spec.software_key() == software)
         };
         let any_accepting = self
             .backends
--- a/core/src/gateway/routing.rs
+++ b/core/src/gateway/routing.rs
@@ -224,6 +224,19 @@
         found.ok().map(|index| &self.services[index])
     }
 
+    /// The longest time that a route permits a stream to take; zero without streams.
+    #[must_use]
+    pub fn longest_stream_ms(&self) -> DurationMs {
+        let streams = self
+            .routes
+            .iter()
+            .filter(|route| matches!(route.kind, CallKind::Stream { .. }));
+        streams
+            .map(|route| route.timeout_ms)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// The KV cache stores.
     pub fn kept_stores(&self) -> impl Iterator<Item = &KeptStore> {
         let services = self.services.iter();
--- a/core/tests/gateway/fixture.rs
+++ b/core/tests/gateway/fixture.rs
@@ -189,6 +189,7 @@
             domain: DOMAIN,
             tried,
             only: None,
+            software: None,
             max_in_flight: self.max_in_flight.unwrap_or(u64::MAX),
             now,
         }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -172,6 +172,7 @@
             | PeerRequest::Join(_)
             | PeerRequest::NoticeToMerge(_)
             | PeerRequest::Digest { .. }
+            | PeerRequest::StreamQuery { .. }
             | PeerRequest::PullTables { .. } => PeerResponse::UpToDate,
         };
         self.envelope(now, request.number, response)
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,6 +27,7 @@
 pub mod status;
 pub mod store;
 pub mod store_polls;
+pub mod versions;
 pub mod watch;
 pub mod weights;
 
@@ -113,6 +114,8 @@
     pub store_answers: Notify,
     /// Notified when requests with some prompt parts are refused from now on.
     pub quarantine_changed: Notify,
+    /// Notified when another gateway has told where streams began.
+    pub streams_learned: Notify,
     /// Notified when weights are announced and when an engine is added or changed.
     pub weights_changed: Notify,
 }
@@ -167,6 +170,7 @@
             store_restored: Notify::new(),
             store_answers: Notify::new(),
             quarantine_changed: Notify::new(),
+            streams_learned: Notify::new(),
             weights_changed: Notify::new(),
             settings,
         });
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -14,7 +14,8 @@
         gateway::{
             CacheScope, CallKind, Choice, ChoiceContext, CustomerSpec, Fetch, KeptStore, ModelCall,
             Pace, PartState, PartUpdate, RequestContent, RequestDigest, RequestIdentity, Route,
-            RoutingTable, choose_model, choose_plain, hash_prefixes, shared_keys, shared_parts,
+            RoutingTable, SoftwareKey, StreamKey, choose_model, choose_plain, hash_prefixes,
+            shared_keys, shared_parts,
         },
     },
     http::{HeaderMap, Method, Request, Uri, uri::PathAndQuery},
@@ -49,6 +50,8 @@
     pub caller_deadline_ms: TimeMs,
     /// The request as crashes of its servers know it.
     pub identity: RequestIdentity,
+    /// The software version that the stream is bound to, once it is known to have begun.
+    software: Cell<Option<SoftwareKey>>,
     lost_servers: Cell<usize>,
     method: Method,
     path: Uri,
@@ -158,6 +161,7 @@
                 digest,
                 parts: shared_parts,
             },
+            software: Cell::new(None),
             lost_servers: Cell::new(0),
             prefix_hashes,
             random,
@@ -170,6 +174,31 @@
         self.route.kind
     }
 
+    /// The stream that the request begins or takes up. `None` if the caller doesn't say which one.
+    #[must_use]
+    pub fn stream_key(&self) -> Option<StreamKey> {
+        let customer = self
+            .customer
+            .as_ref()
+            .map(|customer| customer.name.as_str());
+        let began_by = match self.head.last_event {
+            None => Some(&self.head.request_id),
+            Some(_) => self.head.resumes.as_ref(),
+        };
+        began_by.map(|id| StreamKey::new(customer, id))
+    }
+
+    /// The software version that the stream is bound to; `None` before its first event.
+    #[must_use]
+    pub const fn software(&self) -> Option<SoftwareKey> {
+        self.software.get()
+    }
+
+    /// Binds the stream to the version of its first event.
+    pub fn bind_software(&self, software: SoftwareKey) {
+        self.software.set(Some(software));
+    }
+
     /// Records that a server crashed while it ran the request and had sent no event or whole answer.
     pub fn record_lost_server(&self) {
         self.lost_servers.set(self.lost_servers.get() + 1);
@@ -245,6 +274,7 @@
             domain: &shared.settings.domain,
             tried,
             only,
+            software: self.software.get(),
             now: now(),
         };
         match (&self.head.prompt, service) {
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -13,7 +13,7 @@
     crate::peer::PeerRequest,
     cactusspur_core::{
         DurationMs, EntryId, TimeMs, VecMap, WorkerId,
-        gateway::{Load, Pace, PartState, PartUpdate, QuarantineReport},
+        gateway::{Load, Pace, PartState, PartUpdate, PastVersion, QuarantineReport, StreamOrigin},
     },
     derive_more::{Display, From, Into},
     serde::{Deserialize, Serialize},
@@ -75,6 +75,8 @@
     pub newest_versions: Vec<(String, StoreVersion)>,
     /// The announced weights versions that are known.
     pub weights: Vec<WeightsNotice>,
+    /// Software versions that services had and no longer have.
+    pub past_versions: Vec<PastVersion>,
 }
 
 /// The merged notices of many gateways.
@@ -93,7 +95,9 @@
     /// The KV cache stores that were polled, with their incarnations; `None` for one that doesn't
     /// answer.
     pub kept_stores: Vec<(SocketAddr, Option<u64>)>,
-    /// What is known of crashes of engines.
+    /// Streams that began.
+    pub streams: Vec<StreamOrigin>,
+    /// What is known of crashes of servers.
     pub quarantine: QuarantineReport,
     /// The state of the rollout, from the holder of the order lease.
     pub rollout: Option<RolloutNotice>,
@@ -115,6 +119,7 @@
             && self.parts.is_empty()
             && self.decode_heavy_requests.is_empty()
             && self.kept_stores.is_empty()
+            && self.streams.is_empty()
             && self.quarantine.is_empty()
             && self.rollout.is_none()
             && self.members.is_empty()
@@ -129,6 +134,7 @@
         self.paces.extend(other.paces);
         self.parts.extend(other.parts);
         self.kept_stores.extend(other.kept_stores);
+        self.streams.extend(other.streams);
         self.quarantine.merge(other.quarantine);
         self.rollout = other.rollout.or(self.rollout.take());
     }
@@ -175,6 +181,10 @@
             make_room(&mut current, 1);
             current.parts.push(row);
         }
+        for row in self.streams {
+            make_room(&mut current, 1);
+            current.streams.push(row);
+        }
         for row in self.quarantine.crashes {
             make_room(&mut current, CRASH_ROWS * (1 + row.requests.len()));
             current.quarantine.crashes.push(row);
@@ -215,6 +225,7 @@
     parts: VecMap<(u64, WorkerId), PartState>,
     decode_heavy_requests: VecMap<SocketAddr, u64>,
     kept_stores: VecMap<SocketAddr, Option<u64>>,
+    streams: Vec<StreamOrigin>,
     quarantine: QuarantineReport,
     rollout: Option<RolloutNotice>,
 }
@@ -245,6 +256,11 @@
         }
     }
 
+    fn add_streams(&mut self, streams: &[StreamOrigin]) {
+        let room = MAX_ROWS.saturating_sub(self.streams.len());
+        self.streams.extend(streams.iter().take(room));
+    }
+
     fn take(&mut self) -> Digest {
         let Self {
             sent_requests,
@@ -253,6 +269,7 @@
             parts,
             decode_heavy_requests,
             kept_stores,
+            streams,
             quarantine,
             rollout,
         } = std::mem::take(self);
@@ -272,6 +289,7 @@
             parts: parts.collect(),
             decode_heavy_requests: decode_heavy.map(|row| (*row.0, *row.1)).collect(),
             kept_stores: kept_stores.iter().map(|row| (*row.0, *row.1)).collect(),
+            streams,
             quarantine,
             rollout,
             ..Digest::default()
@@ -327,6 +345,7 @@
         for (store, incarnation) in stores {
             pending.kept_stores.insert(*store, *incarnation);
         }
+        pending.add_streams(&notice.streams);
         // The periodic report of each member would only repeat that of the gateway that merges.
         if notice.status.is_none() {
             pending.quarantine.merge(notice.quarantine.clone());
@@ -359,6 +378,7 @@
         for (store, incarnation) in digest.kept_stores {
             pending.kept_stores.insert(store, incarnation);
         }
+        pending.add_streams(&digest.streams);
         if digest.status.is_none() {
             pending.quarantine.merge(digest.quarantine);
         }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,7 +9,7 @@
         protocol::ResponseHead,
         quarantine, relay,
         response::{self, ResponseBody},
-        weights,
+        versions, weights,
     },
     bytes::Bytes,
     cactusspur_core::{
@@ -107,7 +107,22 @@
         .state
         .borrow_mut()
         .record_request(&call.service, now());
-    let response = dispatch(&shared, &call).await;
+    let response = match versions::bind_taken_up(&shared, &call).await {
+        Ok(()) => dispatch(&shared, &call).await,
+        Err(error) => {
+            let refusal = Refusal {
+                verdict: Verdict::NotRun,
+                cause: Cause::NoWorker,
+                retry_after_ms: call.route.target_ms,
+            };
+            refuse(
+                &call.head.request_id,
+                &call.route.name,
+                &refusal,
+                &error.to_string(),
+            )
+        }
+    };
     metrics::counter!(
         "cactusspur_requests_total",
         "route" => call.route.name.clone(), "status" => response.status().as_str().to_owned()
@@ -223,6 +238,10 @@
         }
         let Some(choice) = call.choose(shared, &tried) else {
             let wait_ms = held_back_ms(shared, call);
+            if call.software().is_some() {
+                "no server of the stream's software version accepts new requests"
+                    .clone_into(&mut why);
+            }
             if wait_ms > DurationMs(0) {
                 backlog_ms = Some(wait_ms);
                 "the backend servers ask for fewer requests".clone_into(&mut why);
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -4,7 +4,7 @@
     super::replica::StoreVersion,
     cactusspur_core::{
         DurationMs, WeightsVersion, WorkerId,
-        gateway::{Load, Pace, PartUpdate, QuarantineReport},
+        gateway::{Load, Pace, PartUpdate, PastVersion, QuarantineReport, StreamOrigin},
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -27,7 +27,9 @@
     pub paces: Vec<(WorkerId, Pace)>,
     /// The state of the rollout that the sender runs as the holder of the order lease.
     pub rollout: Option<RolloutNotice>,
-    /// What the sender knows of crashes of engines.
+    /// Streams that began since the last notice, or that the receiver asked for.
+    pub streams: Vec<StreamOrigin>,
+    /// What the sender knows of crashes of servers.
     pub quarantine: QuarantineReport,
     /// The sender's status, included periodically and after a change.
     pub status: Option<StatusNotice>,
@@ -50,6 +52,8 @@
     pub newest_versions: Vec<(String, StoreVersion)>,
     /// The announced weights versions that it knows.
     pub weights: Vec<WeightsNotice>,
+    /// Software versions that services had and no longer have.
+    pub past_versions: Vec<PastVersion>,
     /// The KV cache stores that it polls, with their incarnations; `None` for one that doesn't answer.
     pub kept_stores: Vec<(SocketAddr, Option<u64>)>,
     /// Whether it is shutting down.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,7 +11,7 @@
         clock::now,
         digest::{Digest, Origin, Outgoing, SharedStatus, membership},
         kept_stores,
-        notice::{Notice, RolloutNotice, StatusNotice, WeightsNotice},
+        notice::{Notice, RolloutNotice, StatusNotice},
         peer_table::Member,
         pulls::Pulls,
         quarantine,
@@ -26,8 +26,8 @@
     },
     bytes::Bytes,
     cactusspur_core::{
-        DurationMs, EntryId, VecMap, WorkerId,
-        gateway::{Load, Pace, PartUpdate, QuarantineReport},
+        DurationMs, EntryId, TimeMs, VecMap, WorkerId,
+        gateway::{Load, Pace, PartUpdate, QuarantineReport, SoftwareKey, StreamKey, StreamOrigin},
     },
     error_stack::{Report, ResultExt},
     std::{
@@ -57,6 +57,13 @@
 const DIGEST_DELAY: Duration = Duration::from_millis(50);
 /// The time between two digests with the members and the state of the gateway that merges.
 const STATUS_DIGEST_PERIOD: Duration = Duration::from_millis(500);
+/// Streams that began in one notice.
+const MAX_STREAMS: usize = 200;
+/// Gateways that are asked for the origin of a stream.
+const MAX_ASKED: usize = 32;
+/// How long a caller that takes a stream up waits for the answers, and how often they are asked.
+const QUERY_WAIT: Duration = Duration::from_millis(60);
+const MAX_QUERIES: usize = 3;
 /// The waits before a starting gateway asks its seeds for the other gateways.
 const JOIN_DELAYS_MS: [u64; 5] = [0, 60, 120, 240, 600];
 /// The longest wait before a table is pulled on the word of a digest. Most members get the table
@@ -110,6 +117,7 @@
     sent_requests: RefCell<Vec<(WorkerId, DurationMs)>>,
     loads: RefCell<Vec<(WorkerId, Load)>>,
     paces: RefCell<Vec<(WorkerId, Pace)>>,
+    streams: RefCell<Vec<StreamOrigin>>,
     is_flush_due: Cell<bool>,
     is_digest_due: Cell<bool>,
     pulls: RefCell<Pulls>,
@@ -143,6 +151,7 @@
             sent_requests: RefCell::default(),
             loads: RefCell::default(),
             paces: RefCell::default(),
+            streams: RefCell::default(),
             is_flush_due: Cell::new(false),
             is_digest_due: Cell::new(false),
             pulls: RefCell::default(),
@@ -199,6 +208,61 @@
         self.paces.borrow_mut().push((worker, sample));
     }
 
+    /// Queues where a stream began for the next notice, which is scheduled if the service has several
+    /// versions.
+    pub fn queue_stream(&self, shared: &Rc<Shared>, origin: StreamOrigin, is_urgent: bool) {
+        self.streams.borrow_mut().push(origin);
+        if is_urgent {
+            self.flush_soon(shared);
+        }
+    }
+
+    /// Asks other gateways where a stream began. `None` if none of those asked knows it.
+    pub async fn ask_origin(&self, shared: &Rc<Shared>, stream: StreamKey) -> Option<SoftwareKey> {
+        let known = || shared.state.borrow().stream_origins.get(stream);
+        let mut receivers: Vec<SocketAddr> = shared.state.borrow().peers.addresses().collect();
+        while receivers.len() > MAX_ASKED {
+            receivers.swap_remove(rand::random_range(0..receivers.len()));
+        }
+        if receivers.is_empty() {
+            return None;
+        }
+        for _ in 0..MAX_QUERIES {
+            let message = PeerRequest::StreamQuery {
+                stream,
+                reply_to: self.address,
+            };
+            self.send_message(message, receivers.clone());
+            let answered = async {
+                loop {
+                    let learned = shared.streams_learned.notified();
+                    if let Some(software) = known() {
+                        return software;
+                    }
+                    learned.await;
+                }
+            };
+            if let Ok(software) = timeout(QUERY_WAIT, answered).await {
+                return Some(software);
+            }
+        }
+        None
+    }
+
+    /// Tells a gateway where a stream began, if this one knows it.
+    fn answer_stream_query(&self, shared: &Shared, stream: StreamKey, reply_to: SocketAddr) {
+        let Some(software) = shared.state.borrow().stream_origins.get(stream) else {
+            return;
+        };
+        let notice = Notice {
+            address: Some(self.address),
+            decode_heavy_requests: shared.state.borrow().decode_heavy_requests,
+            streams: vec![StreamOrigin { stream, software }],
+            ..Notice::default()
+        };
+        self.send_to(notice, std::iter::once(&reply_to));
+    }
+
     /// Queues updates of cached parts for a notice, and schedules the notice.
     pub fn queue_parts(&self, shared: &Rc<Shared>, part_updates: &[PartUpdate]) {
         self.part_updates
@@ -280,10 +344,17 @@
             sent_requests: self.sent_requests.take(),
             loads: self.loads.take(),
             paces: self.paces.take(),
+            streams: self.take_streams(),
             ..Notice::default()
         }
     }
 
+    fn take_streams(&self) -> Vec<StreamOrigin> {
+        let mut streams = self.streams.borrow_mut();
+        let count = streams.len().min(MAX_STREAMS);
+        streams.drain(..count).collect()
+    }
+
     fn status(&self, shared: &Shared) -> StatusNotice {
         self.status_from(shared, &shared.state.borrow())
     }
@@ -296,6 +367,7 @@
             store_age_ms: state.store_age_ms(now()),
             newest_versions: state.replica.newest_versions(),
             weights: state.weights_notices(now()),
+            past_versions: state.past_versions(now()),
             kept_stores: state.kept_stores.watched(),
             is_stopping: shared.is_stopping.get(),
         }
@@ -372,8 +444,7 @@
             return;
         }
         let own = self.own_member(shared, state.store_age_ms(now));
-        let status =
-            self.shared_status(&state.replica.newest_versions(), state.weights_notices(now));
+        let status = self.shared_status(&state, now);
         let decode_heavy = state.decode_heavy_requests;
         let state = &mut *state;
         state.collector.add_quarantine(state.quarantine.report(now));
@@ -403,15 +474,12 @@
         }
     }
 
-    fn shared_status(
-        &self,
-        newest_versions: &[(String, StoreVersion)],
-        weights: Vec<WeightsNotice>,
-    ) -> SharedStatus {
+    fn shared_status(&self, state: &GatewayState, now: TimeMs) -> SharedStatus {
         SharedStatus {
             address: self.address,
-            newest_versions: newest_versions.to_vec(),
-            weights,
+            newest_versions: state.replica.newest_versions(),
+            weights: state.weights_notices(now),
+            past_versions: state.past_versions(now),
         }
     }
 
@@ -440,8 +508,7 @@
         let now = now();
         let state = shared.state.borrow();
         let own = self.own_member(shared, state.store_age_ms(now));
-        let status =
-            self.shared_status(&state.replica.newest_versions(), state.weights_notices(now));
+        let status = self.shared_status(&state, now);
         let digest = Digest {
             quarantine: state.quarantine.report(now),
             ..membership(&state.peers, &own, state.decode_heavy_requests, status, now)
@@ -634,6 +701,9 @@
             is_to_merge,
             digest,
         } => handle_digest(shared, pass_on_to, is_to_merge, digest),
+        PeerRequest::StreamQuery { stream, reply_to } => {
+            shared.peers.answer_stream_query(shared, stream, reply_to);
+        }
         PeerRequest::Heartbeat(_)
         | PeerRequest::PullChanges { .. }
         | PeerRequest::PullTables { .. }
@@ -677,6 +747,9 @@
         state.peers.record_digest(now);
     }
     state.apply_digest(&digest, Origin::of(shared.peers.entry_id), now);
+    if !digest.streams.is_empty() {
+        shared.streams_learned.notify_waiters();
+    }
     // A gateway that doesn't know the first member of its domain merges notices by itself.
     let status = digest.status.as_ref().filter(|_| is_to_merge);
     let misplaced = status
@@ -715,6 +788,9 @@
     }
     let is_new = state.peers.record_notice(address, notice, now);
     state.apply_notice(notice, now);
+    if !notice.streams.is_empty() {
+        shared.streams_learned.notify_waiters();
+    }
     let is_large_fleet = state.peers.is_large_fleet(now);
     let is_local = state.peers.is_in_domain(address);
     // A gateway that doesn't poll hears of changes from those of its domain that do.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,6 +11,7 @@
         link::{Connection, UnreadResponse},
         quarantine,
         response::{IncompleteResponse, ResponseBody, StreamedBody},
+        versions,
     },
     bytes::Bytes,
     cactusspur_core::{
@@ -298,6 +299,8 @@
             if self.event_count == 0 {
                 source.in_flight.record_first_token();
                 self.call.record_parts(&self.shared, &source.choice, true);
+                let software = source.in_flight.sent_to().software;
+                versions::record_first_event(&self.shared, &self.call, software);
                 self.log(source.choice.worker, "first event");
             }
             let now = now();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,8 +17,9 @@
     cactusspur_core::{
         DurationMs, TimeMs, VecMap, WeightsVersion, WorkerId,
         gateway::{
-            AnnouncedWeights, Backend, BackendTable, CachedParts, Load, PartUpdate, Quarantine,
-            RetryBudget, RoutingTable,
+            AnnouncedWeights, Backend, BackendTable, CachedParts, Load, PartUpdate, PastVersion,
+            PastVersions, Quarantine, RetryBudget, RoutingTable, SoftwareKey, StreamOrigin,
+            StreamOrigins,
         },
     },
     std::rc::Rc,
@@ -42,6 +43,9 @@
 /// holder that says so.
 const ROLLOUT_STATE_TTL_MS: DurationMs = DurationMs(500);
 
+/// How many attempts of a caller, each as long as its route permits, a stream may be taken up in.
+const STREAM_ATTEMPTS: u64 = 2;
+
 /// When a request was sent, and to which incarnation of its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SentTo {
@@ -49,6 +53,8 @@
     pub sent_at_ms: TimeMs,
     /// When the server's incarnation had started, by its own description.
     pub started_at_ms: u64,
+    /// The version of its software.
+    pub software: SoftwareKey,
 }
 
 /// The state of a gateway.
@@ -67,7 +73,10 @@
     pub announced_weights: VecMap<String, Vec<AnnouncedWeights>>,
     /// The state of the KV cache stores.
     pub kept_stores: KeptStoreStates,
-    /// The prompt parts on which engines crash.
+    /// Where streams began, and the versions that services had.
+    pub stream_origins: StreamOrigins,
+    past_versions: PastVersions,
+    /// The requests and prompt parts on which servers crash.
     pub quarantine: Quarantine,
     /// The number of this gateway's decode-heavy requests in progress.
     pub decode_heavy_requests: u64,
@@ -112,6 +121,8 @@
             retry_budget: RetryBudget::new(settings.retry_budget),
             announced_weights: VecMap::default(),
             kept_stores: KeptStoreStates::default(),
+            stream_origins: StreamOrigins::default(),
+            past_versions: PastVersions::default(),
             quarantine: Quarantine::new(gateway_rank(&settings.name, 0), now()),
             decode_heavy_requests: 0,
             peers,
@@ -290,6 +301,7 @@
                 let was_leaving = self
                     .removed_backends
                     .was_leaving(worker, spec.started_at_ms);
+                self.record_past_version(worker, now);
                 let lost_cache = self.backends.upsert(spec);
                 if let Some(backend) = self.backends.get_mut(worker).filter(|_| was_leaving) {
                     backend.record_leaving();
@@ -323,6 +335,9 @@
             %row_version,
             "configuration in force"
         );
+        let longest_ms = routing.longest_stream_ms();
+        self.stream_origins
+            .set_lifetime(DurationMs(longest_ms.0 * STREAM_ATTEMPTS));
         self.routing = Some(Rc::new(routing));
     }
 
@@ -387,6 +402,9 @@
     pub fn apply_notice(&mut self, notice: &Notice, now: TimeMs) {
         let status = notice.status.as_ref();
         self.apply_weights_notices(status.map_or(&[][..], |status| &status.weights), now);
+        let past_versions = status.map_or(&[][..], |status| &status.past_versions);
+        self.past_versions.apply(past_versions, now);
+        self.apply_stream_origins(&notice.streams, now);
         for (worker, sample) in &notice.paces {
             if let Some(backend) = self.backends.get_mut(*worker) {
                 backend.pace.learn(*sample);
@@ -420,7 +438,9 @@
         }
         if let Some(status) = &digest.status {
             self.apply_weights_notices(&status.weights, now);
+            self.past_versions.apply(&status.past_versions, now);
         }
+        self.apply_stream_origins(&digest.streams, now);
         for (worker, load) in &digest.loads {
             self.record_load(*worker, *load, now);
         }
@@ -458,6 +478,7 @@
         SentTo {
             sent_at_ms: now,
             started_at_ms: backend.map_or(0, |backend| backend.spec.started_at_ms),
+            software: SoftwareKey::new(backend.and_then(|backend| backend.spec.software.as_ref())),
         }
     }
 
@@ -653,7 +674,46 @@
             .collect()
     }
 
+    /// Records until when a server of its version was listed, before its description changes.
+    fn record_past_version(&mut self, worker: WorkerId, now: TimeMs) {
+        if let Some(backend) = self.backends.get(worker) {
+            let spec = &backend.spec;
+            let lifetime_ms = self.stream_origins.lifetime_ms();
+            self.past_versions.forget_old(lifetime_ms, now);
+            self.past_versions
+                .record(&spec.service, spec.software_key(), now);
+        }
+    }
+
+    /// The software version of a service that has had no other one for as long as streams are taken up;
+    /// `None` if it had, or if a newer list of servers may exist.
+    #[must_use]
+    pub fn only_version(&self, service: &str, now: TimeMs) -> Option<SoftwareKey> {
+        if self.may_be_outdated(now) {
+            return None;
+        }
+        let lifetime_ms = self.stream_origins.lifetime_ms();
+        let listed = self.backends.software(service);
+        self.past_versions
+            .only_version(service, listed, lifetime_ms, now)
+    }
+
+    /// The versions that services had and that streams may still be bound to, for notices.
+    #[must_use]
+    pub fn past_versions(&self, now: TimeMs) -> Vec<PastVersion> {
+        self.past_versions
+            .report(self.stream_origins.lifetime_ms(), now)
+    }
+
+    /// Applies what other gateways report of streams that began.
+    pub fn apply_stream_origins(&mut self, origins: &[StreamOrigin], now: TimeMs) {
+        for origin in origins {
+            self.stream_origins.record(*origin, now);
+        }
+    }
+
     fn remove_backend(&mut self, worker: WorkerId, now: TimeMs) {
+        self.record_past_version(worker, now);
         if let Some(backend) = self.backends.remove(worker) {
             self.removed_backends.record(worker, &backend, now);
         }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -18,7 +18,7 @@
     },
     bincode::config::{Configuration, Limit, LittleEndian, Varint},
     bytes::{BufMut, Bytes, BytesMut},
-    cactusspur_core::{DurationMs, EntryId, Generation, VmList},
+    cactusspur_core::{DurationMs, EntryId, Generation, VmList, gateway::StreamKey},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{fmt, marker::PhantomData, net::SocketAddr},
 };
@@ -100,6 +100,14 @@
         /// The store version up to which the sender knows each table, by the table's name.
         known: Vec<(String, StoreVersion)>,
     },
+    /// Asks for the origin of a stream. Sent as a datagram; a receiver that knows it answers with a
+    /// [`Self::Notice`].
+    StreamQuery {
+        /// The stream.
+        stream: StreamKey,
+        /// The address of the gateway that asks.
+        reply_to: SocketAddr,
+    },
     /// Announces a gateway that knows few others, and asks for those that the receiver knows. Sent as
     /// a datagram, as is the [`Self::Digest`] that answers it.
     Join(Box<Notice>),
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -134,6 +134,7 @@
             address: address(number),
             newest_versions: Vec::new(),
             weights: Vec::new(),
+            past_versions: Vec::new(),
         }
     }
 
