--- a/core/src/gateway/stream_origin.rs
+++ b/core/src/gateway/stream_origin.rs
@@ -169,6 +169,12 @@
         })
     }
 
+    /// All origins that are kept, for a gateway that starts.
+    pub fn iter(&self) -> impl Iterator<Item = StreamOrigin> {
+        let closed = self.closed.iter().flat_map(|bucket| &bucket.rows);
+        closed.chain(&self.open).copied()
+    }
+
     /// The number of origins that are kept.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -10,3 +10,4 @@
 mod quarantine;
 mod rollout;
 mod routing;
+mod stream_origin;
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -173,6 +173,7 @@
             | PeerRequest::NoticeToMerge(_)
             | PeerRequest::Digest { .. }
             | PeerRequest::StreamQuery { .. }
+            | PeerRequest::PullStreams
             | PeerRequest::PullTables { .. } => PeerResponse::UpToDate,
         };
         self.envelope(now, request.number, response)
@@ -217,8 +218,10 @@
                 let snapshot = serde_json::from_slice(&configuration_json);
                 self.apply_pull(now, snapshot.ok().map(Arc::new));
             }
-            // Tables are requested from gateways only.
-            PeerResponse::UpToDate | PeerResponse::Tables(_) => self.apply_pull(now, None),
+            // Tables and streams are requested from gateways only.
+            PeerResponse::UpToDate | PeerResponse::Tables(_) | PeerResponse::Streams(_) => {
+                self.apply_pull(now, None);
+            }
             PeerResponse::Vms { list, age_ms } => {
                 let as_of_ms = TimeMs(now.0.saturating_sub(age_ms.0));
                 self.apply_vm_list(list.map(Arc::new), as_of_ms);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -64,6 +64,8 @@
 /// How long a caller that takes a stream up waits for the answers, and how often they are asked.
 const QUERY_WAIT: Duration = Duration::from_millis(60);
 const MAX_QUERIES: usize = 3;
+/// How long a starting gateway waits for a peer's answer before it asks another one.
+const PULL_STREAMS_TIMEOUT: Duration = Duration::from_millis(250);
 /// The waits before a starting gateway asks its seeds for the other gateways.
 const JOIN_DELAYS_MS: [u64; 5] = [0, 60, 120, 240, 600];
 /// The longest wait before a table is pulled on the word of a digest. Most members get the table
@@ -249,6 +251,32 @@
         None
     }
 
+    /// Gets the origins of all streams from some peer. Returns whether one answered.
+    async fn pull_streams(&self, shared: &Rc<Shared>) -> bool {
+        let mut addresses: Vec<SocketAddr> = shared.state.borrow().peers.addresses().collect();
+        if addresses.is_empty() {
+            return false;
+        }
+        let address = addresses.swap_remove(rand::random_range(0..addresses.len()));
+        let link = PeerLink::new(address, self.key.clone());
+        let request = self.envelope(PeerRequest::PullStreams);
+        let answer = timeout(PULL_STREAMS_TIMEOUT, link.call(now(), &request)).await;
+        let Ok(Ok(Envelope {
+            message: PeerResponse::Streams(origins),
+            ..
+        })) = answer
+        else {
+            tracing::debug!(%address, "a peer did not tell where streams began");
+            return false;
+        };
+        tracing::info!(%address, streams = origins.len(), "origins of streams pulled from a peer");
+        let mut state = shared.state.borrow_mut();
+        state.apply_stream_origins(&origins, now());
+        drop(state);
+        shared.streams_learned.notify_waiters();
+        true
+    }
+
     /// Tells a gateway where a stream began, if this one knows it.
     fn answer_stream_query(&self, shared: &Shared, stream: StreamKey, reply_to: SocketAddr) {
         let Some(software) = shared.state.borrow().stream_origins.get(stream) else {
@@ -633,6 +661,9 @@
         PeerRequest::PullTables { known } => {
             PeerResponse::Tables(shared.state.borrow().replica.changes_since(known))
         }
+        PeerRequest::PullStreams => {
+            PeerResponse::Streams(shared.state.borrow().stream_origins.iter().collect())
+        }
         _ => PeerResponse::UpToDate,
     };
     Envelope {
@@ -657,9 +688,13 @@
 }
 
 async fn join_at_start(shared: Rc<Shared>) {
+    let mut has_streams = false;
     for wait_ms in JOIN_DELAYS_MS {
         sleep(Duration::from_millis(wait_ms)).await;
         shared.peers.join(&shared);
+        if !has_streams {
+            has_streams = shared.peers.pull_streams(&shared).await;
+        }
     }
 }
 
@@ -705,6 +740,7 @@
             shared.peers.answer_stream_query(shared, stream, reply_to);
         }
         PeerRequest::Heartbeat(_)
+        | PeerRequest::PullStreams
         | PeerRequest::PullChanges { .. }
         | PeerRequest::PullTables { .. }
         | PeerRequest::Vms => tracing::debug!("ignored a request that must come over a connection"),
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -18,7 +18,10 @@
     },
     bincode::config::{Configuration, Limit, LittleEndian, Varint},
     bytes::{BufMut, Bytes, BytesMut},
-    cactusspur_core::{DurationMs, EntryId, Generation, VmList, gateway::StreamKey},
+    cactusspur_core::{
+        DurationMs, EntryId, Generation, VmList,
+        gateway::{StreamKey, StreamOrigin},
+    },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{fmt, marker::PhantomData, net::SocketAddr},
 };
@@ -100,6 +103,8 @@
         /// The store version up to which the sender knows each table, by the table's name.
         known: Vec<(String, StoreVersion)>,
     },
+    /// Asks for the origins of all streams, for a gateway that starts.
+    PullStreams,
     /// Asks for the origin of a stream. Sent as a datagram; a receiver that knows it answers with a
     /// [`Self::Notice`].
     StreamQuery {
@@ -153,6 +158,8 @@
     },
     /// A gateway's copies of tables of the platform's store.
     Tables(Vec<TableCopy>),
+    /// The origins of the streams that the peer knows.
+    Streams(Vec<StreamOrigin>),
 }
 
 /// A request in the sealed format.
