Refuse no request while another may have been in its crashes

A gateway that has not heard that the request that crashes servers ran in one of the crashes finds a sound request in that crash without a rival, since a rival had to be in all of them. Change: a request isn't quarantined while another one, which no answer has got past, is in as many crashes and in all of its crashes but one. Both run apart, so that the next crash tells them apart.

--- a/core/src/gateway/quarantine/evidence.rs
+++ b/core/src/gateway/quarantine/evidence.rs
@@ -19,6 +19,8 @@
 /// Crashes that no request explains, as with faulty hardware, from which on a request may have been in
 /// some by chance.
 const MIN_OTHER_CRASHES: usize = 2;
+/// The crashes of a request of which a gateway may have missed the news.
+const MAX_LOST_NEWS: usize = 1;
 /// How long before the first crash of a request others count as going on.
 const OTHER_CRASHES_MS: DurationMs = DurationMs(5_000);
 /// Crashes within this time count as one moment.
@@ -289,9 +291,14 @@
         culprits: &[Culprit],
         now: TimeMs,
     ) -> Option<(Culprit, usize, TimeMs)> {
-        let suspects = self.sufficient(&self.accusations(culprits));
+        let accusations = self.accusations(culprits);
+        let suspects = self.sufficient(&accusations);
         let eligible = suspects.iter().filter(|row| match row.trigger {
-            Trigger::Request(_) => now >= self.settled_at_ms(row) && is_unrivalled(row, &suspects),
+            Trigger::Request(_) => {
+                now >= self.settled_at_ms(row)
+                    && is_unrivalled(row, &suspects)
+                    && is_likeliest(row, &accusations)
+            }
             Trigger::Part(_) => !self.has_common_request(&row.crashes),
         });
         let strongest = eligible.max_by_key(|row| {
@@ -532,6 +539,22 @@
     })
 }
 
+/// Whether no other request is in as many crashes and in all of these but one. News of that one may be
+/// lost for good if the gateway that sent it has restarted, so that the next crash must tell them apart.
+fn is_likeliest(accused: &Accusation, accusations: &[Accusation]) -> bool {
+    let mut rivals = accusations.iter().filter(|row| {
+        matches!(row.trigger, Trigger::Request(_))
+            && row.trigger != accused.trigger
+            && !row.has_passed
+            && row.crash_count() >= accused.crash_count()
+    });
+    !rivals.any(|row| {
+        let crashes = accused.crashes.iter();
+        let unshared = crashes.filter(|crash| !row.crashes.contains(crash));
+        unshared.count() <= MAX_LOST_NEWS
+    })
+}
+
 /// The parts that were in just these crashes.
 fn parts_with_same_crashes(strongest: &Accusation, suspects: &[Accusation]) -> Vec<PartId> {
     let same = suspects
--- a/core/tests/gateway/quarantine.rs
+++ b/core/tests/gateway/quarantine.rs
@@ -794,6 +794,26 @@
     assert_eq!(admit(&mut quarantine, &sound, 2_400), Admission::Free);
 }
 
+/// A gateway restarted after its news of one crash was lost, so that it never repeated them: a request that
+/// ran beside the one that crashes servers seemed to be alone in that crash.
+#[test]
+fn a_request_is_not_refused_while_another_may_have_been_in_its_crashes() {
+    let mut quarantine = Quarantine::default();
+    let (guilty, sound) = (request(1, &[]), request(2, &[]));
+    quarantine.record_crash(&crash_with(0, std::slice::from_ref(&sound)), time(0));
+    for engine in 1..MIN_CRASHES as u64 {
+        let crash = crash_with(engine, &[guilty.clone(), sound.clone()]);
+        quarantine.record_crash(&crash, time(engine * 500));
+    }
+    quarantine.record_crash(&crash_with(7, std::slice::from_ref(&guilty)), time(1_500));
+    quarantine.settle(time(2_000));
+    assert_eq!(admit(&mut quarantine, &sound, 2_000), Admission::Apart);
+    quarantine.record_crash(&crash_with(8, std::slice::from_ref(&guilty)), time(2_100));
+    quarantine.settle(time(2_500));
+    assert_eq!(admit(&mut quarantine, &guilty, 2_500), Admission::Refused);
+    assert_eq!(admit(&mut quarantine, &sound, 2_500), Admission::Free);
+}
+
 /// Two gateways that sent suspected requests to one server at the same moment got one crash for both.
 #[test]
 fn one_of_two_trials_at_a_server_gives_way() {
