Tell operators where a request would go and why

Cause: operators saw the state of servers, but had to send a request to learn where one goes, and guessed why a server gets none. Change: `cactusspur explain` describes a request to one gateway (`POST /explain` on the metrics address), which answers with what would become of it and, for each server of the service, the cost and the predicted times or what excludes it. The code of a real request decides: the choice now names what excludes a server (`ChoiceContext::exclusion`), its ranking of engines is a function of its own, and it tells which engines it compared. Nothing is sent or recorded; the quarantine is asked in a copy. Decisions don't change.

--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod cached;
 pub mod choice;
+pub mod explanation;
 pub mod pace;
 pub mod pause;
 mod prediction;
@@ -29,6 +30,7 @@
     choice::{
         AnnouncedWeights, Choice, ChoiceContext, Fetch, ModelCall, choose_model, choose_plain,
     },
+    explanation::{Exclusion, ServerStanding, Standing, explain_model, explain_plain},
     pace::Pace,
     pause::Pause,
     quarantine::{
--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -4,6 +4,7 @@
     super::{
         backend::{Backend, BackendTable, MAX_FAILURE_PERMILLE},
         cached::{CachedParts, PromptPart, rendezvous_score},
+        explanation::{Exclusion, wait_exclusion},
         pace::CHUNK_TOKENS,
         prediction::{Candidate, decode_slots, is_permitted, predict, save_target},
         routing::{KeptStore, ServiceSpec},
@@ -149,13 +150,10 @@
 pub fn choose_plain(context: &ChoiceContext<'_>, service: &str, random: u64) -> Option<Choice> {
     let eligible = context.eligible(service);
     let best = eligible.min_by_key(|(worker, backend)| {
-        let occupancy = backend.occupancy(context.now);
-        let slots = backend.spec.slots.max(1);
-        let queue_cost = (occupancy + 1).saturating_sub(slots) * SLOT_WAIT_COST_MS * 2 / slots;
-        // Balances requests among servers that have free slots.
-        let utilization_cost = occupancy * SLOT_WAIT_COST_MS / slots;
-        let cost = queue_cost + utilization_cost + context.server_cost(backend);
-        (cost, rendezvous_score(random, *worker))
+        (
+            context.plain_cost(backend),
+            rendezvous_score(random, *worker),
+        )
     })?;
     Some(Choice {
         worker: best.0,
@@ -183,6 +181,20 @@
     service: &ServiceSpec,
     call: &ModelCall<'_>,
 ) -> Option<Choice> {
+    let engines = ranked_engines(context, service, call);
+    let choice = choose_near_home(context, service, call, &engines, &mut |_| ())?;
+    Some(Choice {
+        save_to: save_target(context, call, &choice),
+        ..choice
+    })
+}
+
+/// The eligible engines in the order of preference.
+pub(super) fn ranked_engines<'a>(
+    context: &'a ChoiceContext<'a>,
+    service: &'a ServiceSpec,
+    call: &ModelCall<'_>,
+) -> Vec<Candidate<'a>> {
     let mut engines: Vec<Candidate<'_>> = context
         .eligible(&service.name)
         .filter_map(|(worker, backend)| {
@@ -222,26 +234,24 @@
             (engine.is_decode_engine, score)
         });
     }
-    let choice = choose_near_home(context, service, call, &engines)?;
-    Some(Choice {
-        save_to: save_target(context, call, &choice),
-        ..choice
-    })
+    engines
 }
 
 /// Chooses among the first engines in the order of preference and those that hold the last shared
 /// part, and among more while all of these are congested.
 ///
 /// Entry VMs learn of each other's requests with a delay. If each chose the best of all engines, all
-/// would choose the same one at the same moment.
-fn choose_near_home(
+/// would choose the same one at the same moment. `compare` is told each engine that is compared.
+pub(super) fn choose_near_home(
     context: &ChoiceContext<'_>,
     service: &ServiceSpec,
     call: &ModelCall<'_>,
     engines: &[Candidate<'_>],
+    compare: &mut dyn FnMut(WorkerId),
 ) -> Option<Choice> {
-    let best_of = |candidates: &mut dyn Iterator<Item = (usize, &Candidate<'_>)>| {
+    let mut best_of = |candidates: &mut dyn Iterator<Item = (usize, &Candidate<'_>)>| {
         candidates
+            .inspect(|(_, engine)| compare(engine.worker))
             .map(|(steps, engine)| predict(context, service, call, engine, steps as u64))
             .min_by_key(|(cost, _)| *cost)
     };
@@ -308,15 +318,8 @@
     /// The ready servers of a service that have not been tried, have a connection left and may be sent a
     /// request now. Servers that were unreachable recently or load weights are included only when there are no others.
     fn eligible(&'a self, service: &'a str) -> impl Iterator<Item = (WorkerId, &'a Backend)> {
-        let max_in_flight = self.max_in_flight;
         let now = self.now;
-        let software = self.software;
-        let untried = move |row: &(WorkerId, &Backend)| {
-            !self.tried.contains(&row.0)
-                && row.1.in_flight < max_in_flight
-                && row.1.available_at_ms() <= now
-                && software.is_none_or(|software| row.1.spec.software_key() == software)
-        };
+        let untried = |row: &(WorkerId, &Backend)| self.exclusion(row.0, row.1).is_none();
         let any_accepting = self
             .backends
             .ready(service)
@@ -330,6 +333,30 @@
             .filter(move |row| !any_accepting || row.1.takes_requests(now))
     }
 
+    /// What keeps a server that accepts requests from this one; `None` if nothing does.
+    pub(super) fn exclusion(&self, worker: WorkerId, backend: &Backend) -> Option<Exclusion> {
+        let has_other_software = |software: SoftwareKey| backend.spec.software_key() != software;
+        if self.tried.contains(&worker) {
+            Some(Exclusion::Avoided)
+        } else if backend.in_flight >= self.max_in_flight {
+            Some(Exclusion::NoConnection)
+        } else if self.software.is_some_and(has_other_software) {
+            Some(Exclusion::OtherSoftware)
+        } else {
+            wait_exclusion(backend, self.now)
+        }
+    }
+
+    /// The cost of a server of a plain service.
+    pub(super) fn plain_cost(&self, backend: &Backend) -> u64 {
+        let occupancy = backend.occupancy(self.now);
+        let slots = backend.spec.slots.max(1);
+        let queue_cost = (occupancy + 1).saturating_sub(slots) * SLOT_WAIT_COST_MS * 2 / slots;
+        // Balances requests among servers that have free slots.
+        let utilization_cost = occupancy * SLOT_WAIT_COST_MS / slots;
+        queue_cost + utilization_cost + self.server_cost(backend)
+    }
+
     /// The cost of a server apart from its load: for its distance and its recent failures.
     pub(super) fn server_cost(&self, backend: &Backend) -> u64 {
         let distance_cost = if backend.spec.domain == self.domain {
--- a/core/src/gateway/routing.rs
+++ b/core/src/gateway/routing.rs
@@ -249,6 +249,12 @@
         !self.customers.is_empty()
     }
 
+    /// The customer with this name.
+    #[must_use]
+    pub fn customer_named(&self, name: &str) -> Option<&CustomerSpec> {
+        self.customers.iter().find(|customer| customer.name == name)
+    }
+
     /// The customer that an API key identifies.
     #[must_use]
     pub fn customer(&self, key: &str) -> Option<&CustomerSpec> {
--- a/core/tests/gateway/fixture.rs
+++ b/core/tests/gateway/fixture.rs
@@ -6,7 +6,8 @@
         gateway::{
             self, AnnouncedWeights, BackendSpec, BackendTable, CacheScope, CachedParts, Choice,
             ChoiceContext, KeptStore, Load, ModelCall, PartState, PartUpdate, PromptPart,
-            ServiceSpec, choose_model, choose_plain, hash_prefixes,
+            ServerStanding, ServiceSpec, choose_model, choose_plain, explain_model, explain_plain,
+            hash_prefixes,
         },
     },
     std::net::SocketAddr,
@@ -160,6 +161,24 @@
         tried: &[WorkerId],
         now: TimeMs,
     ) -> Option<Choice> {
+        let context = self.context(tried, now);
+        self.with_call(prompt, isolated_customer, |call| {
+            choose_model(&context, &service(), call)
+        })
+    }
+
+    /// How the engines stand in the choice for a request.
+    pub fn explain(&self, prompt: &Prompt, now: TimeMs) -> Vec<ServerStanding> {
+        let context = self.context(&[], now);
+        self.with_call(prompt, None, |call| {
+            explain_model(&context, &service(), call)
+        })
+    }
+
+    fn with_call<T, F>(&self, prompt: &Prompt, isolated_customer: Option<&str>, decide: F) -> T
+    where
+        F: FnOnce(&ModelCall<'_>) -> T,
+    {
         let prefix_hashes = hash_prefixes(&prompt.parts);
         let stores: Vec<&KeptStore> = self.kept_stores.iter().collect();
         let call = ModelCall {
@@ -175,13 +194,17 @@
             kept_stores: &stores,
             announced: &self.announced,
         };
-        choose_model(&self.context(tried, now), &service(), &call)
+        decide(&call)
     }
 
     pub fn choose_plain(&self, random: u64, now: TimeMs) -> Option<Choice> {
         choose_plain(&self.context(&[], now), PLAIN, random)
     }
 
+    pub fn explain_plain(&self, random: u64, now: TimeMs) -> Vec<ServerStanding> {
+        explain_plain(&self.context(&[], now), PLAIN, random)
+    }
+
     fn context<'a>(&'a self, tried: &'a [WorkerId], now: TimeMs) -> ChoiceContext<'a> {
         ChoiceContext {
             backends: &self.backends,
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod budget;
 mod cached;
+mod explanation;
 mod fixture;
 mod load;
 mod pace;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod digest;
 pub mod event_stream;
+pub mod explain;
 pub mod forward;
 pub mod kept_stores;
 pub mod lease;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -14,8 +14,8 @@
         gateway::{
             CacheScope, CallKind, Choice, ChoiceContext, CustomerSpec, Fetch, KeptStore, ModelCall,
             Pace, PartState, PartUpdate, RequestContent, RequestDigest, RequestIdentity, Route,
-            RoutingTable, SoftwareKey, StreamKey, choose_model, choose_plain, hash_prefixes,
-            shared_keys, shared_parts,
+            RoutingTable, ServerStanding, ServiceSpec, SoftwareKey, StreamKey, choose_model,
+            choose_plain, explain_model, explain_plain, hash_prefixes, shared_keys, shared_parts,
         },
     },
     http::{HeaderMap, Method, Request, Uri, uri::PathAndQuery},
@@ -235,18 +235,38 @@
     /// another suspected request.
     #[must_use]
     pub fn choose(&self, shared: &Shared, tried: &[WorkerId]) -> Option<Choice> {
+        self.choose_avoiding(shared, tried).1
+    }
+
+    /// How all servers of the request's service stand in its first choice.
+    #[must_use]
+    pub fn explain(&self, shared: &Shared) -> Vec<ServerStanding> {
+        let (avoided, _) = self.choose_avoiding(shared, &[]);
+        self.decide(shared, &avoided, None, |context, model| match model {
+            Some((service, call)) => explain_model(context, service, call),
+            None => explain_plain(context, &self.service, self.random),
+        })
+    }
+
+    /// The servers that were avoided, and the choice among the others.
+    fn choose_avoiding(
+        &self,
+        shared: &Shared,
+        tried: &[WorkerId],
+    ) -> (Vec<WorkerId>, Option<Choice>) {
         let state = shared.state.borrow();
         let on_trial = state.quarantine.servers_on_trial(now());
         let is_suspected = state.quarantine.is_suspected(self.identity.digest);
         drop(state);
-        if on_trial.is_empty() {
-            return self.choose_among(shared, tried, None);
-        }
-        let apart = self.choose_among(shared, &[tried, &on_trial].concat(), None);
-        if apart.is_some() || is_suspected {
-            return apart;
+        if !on_trial.is_empty() {
+            let avoided = [tried, &on_trial].concat();
+            let apart = self.choose_among(shared, &avoided, None);
+            if apart.is_some() || is_suspected {
+                return (avoided, apart);
+            }
         }
-        self.choose_among(shared, tried, None)
+        let choice = self.choose_among(shared, tried, None);
+        (tried.to_vec(), choice)
     }
 
     /// Repeats the choice for one server after the gateway's knowledge of it changed. `None` if the
@@ -263,6 +283,23 @@
         tried: &[WorkerId],
         only: Option<WorkerId>,
     ) -> Option<Choice> {
+        self.decide(shared, tried, only, |context, model| match model {
+            Some((service, call)) => choose_model(context, service, call),
+            None => choose_plain(context, &self.service, self.random),
+        })
+    }
+
+    /// Decides on the gateway's knowledge, with the service and the call if the request is for a model.
+    fn decide<T, F>(
+        &self,
+        shared: &Shared,
+        tried: &[WorkerId],
+        only: Option<WorkerId>,
+        decide: F,
+    ) -> T
+    where
+        F: FnOnce(&ChoiceContext<'_>, Option<(&ServiceSpec, &ModelCall<'_>)>) -> T,
+    {
         let state = shared.state.borrow();
         let service = self.routing.service(&self.service);
         let context = ChoiceContext {
@@ -298,9 +335,9 @@
                     kept_stores: &stores,
                     announced: announced.map_or(&[], Vec::as_slice),
                 };
-                choose_model(&context, service, &call)
+                decide(&context, Some((service, &call)))
             }
-            _ => choose_plain(&context, &self.service, self.random),
+            _ => decide(&context, None),
         }
     }
 
@@ -391,7 +428,8 @@
     }
 
     /// The configured KV cache store with the given id.
-    fn kept_store(&self, id: WorkerId) -> Option<&KeptStore> {
+    #[must_use]
+    pub fn kept_store(&self, id: WorkerId) -> Option<&KeptStore> {
         self.routing.kept_stores().find(|store| store.id == id)
     }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -34,7 +34,7 @@
 /// Failed connection attempts that are permitted for one request. They don't count as sends.
 const MAX_CONNECT_FAILURES: usize = 3;
 /// The least remaining time for which another attempt is started.
-const MIN_REMAINING_MS: DurationMs = DurationMs(20);
+pub(super) const MIN_REMAINING_MS: DurationMs = DurationMs(20);
 /// How long an idempotent request waits for one server's response before it is sent to another one,
 /// in percent of the route's target. The last permitted attempt may use all remaining time.
 const NON_FINAL_ATTEMPT_PERCENT: u64 = 80;
@@ -138,7 +138,7 @@
 }
 
 /// The configuration in force; `None` until all tables are loaded.
-fn ready_routing(shared: &Shared) -> Option<Rc<cactusspur_core::gateway::RoutingTable>> {
+pub(super) fn ready_routing(shared: &Shared) -> Option<Rc<cactusspur_core::gateway::RoutingTable>> {
     let state = shared.state.borrow();
     if !state.is_complete() {
         return None;
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -175,6 +175,13 @@
     /// When the request id is missing or a header has an invalid value.
     fn parse_request_head(&self, headers: &HeaderMap) -> Result<RequestHead, RequestHeadError>;
 
+    /// Parses the parts of a prompt, in the form of a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// When a part has no valid length.
+    fn parse_prompt_parts(&self, text: &str) -> Result<Vec<PromptPart>, RequestHeadError>;
+
     /// The headers to send to a backend server, from those of the caller's request and the gateway's
     /// own.
     fn forwarded_headers(&self, headers: &HeaderMap, head: &ForwardHead<'_>) -> HeaderMap;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,11 +1,14 @@
 //! The HTTP servers for callers, for readiness checks, and for metrics and status.
 
 use {
-    super::{GatewayError, Shared, forward, link, quarantine, response, status::GatewayStatus},
+    super::{
+        GatewayError, Shared, explain, forward, link, quarantine, response, status::GatewayStatus,
+    },
     crate::telemetry::init_metrics,
     cactusspur_core::gateway::Culprit,
     error_stack::{Report, ResultExt},
     http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header},
+    http_body_util::{BodyExt, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     metrics_exporter_prometheus::PrometheusHandle,
@@ -31,6 +34,11 @@
 /// a request that isn't read within a second.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The largest body of an operator's order, in bytes.
+const MAX_ORDER_BYTES: usize = 65_536;
+
+/// The path under which an operator asks where a request would go.
+pub const EXPLAIN_PATH: &str = "/explain";
 /// The path under which an operator ends a quarantine, before the text form of the culprit.
 pub const LIFT_PATH: &str = "/quarantine/lift/";
 
@@ -175,7 +183,7 @@
 pub async fn spawn_readiness(shared: &Rc<Shared>) -> Result<(), Report<GatewayError>> {
     let listener = listen(shared.settings.readiness_address).await?;
     let shared = Rc::clone(shared);
-    ntex::rt::spawn(serve_by_path(listener, move |_, _| {
+    ntex::rt::spawn(serve_by_path(listener, move |_, _, _| {
         if shared.is_ready() {
             response::empty(StatusCode::OK)
         } else {
@@ -187,7 +195,8 @@
 
 /// Starts the server for metrics, if the settings name an address for it. It serves
 /// [`GatewayStatus`] as JSON under `/status`, and Prometheus metrics under any other path. A `POST` of the
-/// text form of a [`Culprit`] to [`LIFT_PATH`] ends its quarantine in all gateways.
+/// text form of a [`Culprit`] to [`LIFT_PATH`] ends its quarantine in all gateways, and one of an
+/// [`explain::ExplainQuery`] as JSON to [`EXPLAIN_PATH`] returns an [`explain::Explanation`].
 ///
 /// # Errors
 ///
@@ -199,7 +208,10 @@
     let listener = listen(address).await?;
     let recorder = init_metrics();
     let shared = Rc::clone(shared);
-    ntex::rt::spawn(serve_by_path(listener, move |method, path| {
+    ntex::rt::spawn(serve_by_path(listener, move |method, path, body| {
+        if path == EXPLAIN_PATH {
+            return explain_request(&shared, method, body);
+        }
         if let Some(culprit) = path.strip_prefix(LIFT_PATH) {
             return lift(&shared, method, culprit);
         }
@@ -231,6 +243,31 @@
     }
 }
 
+/// Answers with where the request that a body describes would go.
+fn explain_request(
+    shared: &Shared,
+    method: &Method,
+    body: &[u8],
+) -> Response<response::ResponseBody> {
+    if method != Method::POST {
+        return response::empty(StatusCode::METHOD_NOT_ALLOWED);
+    }
+    let query = match serde_json::from_slice(body) {
+        Ok(query) => query,
+        Err(error) => {
+            tracing::info!(%error, "rejected an order to explain a request");
+            return response::empty(StatusCode::BAD_REQUEST);
+        }
+    };
+    match serde_json::to_string(&explain::explain(shared, &query)) {
+        Ok(text) => response::with_body(StatusCode::OK, HeaderMap::new(), text.into()),
+        Err(error) => {
+            tracing::error!(%error, "failed to encode an explanation");
+            response::empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
 fn status_text(shared: &Shared) -> String {
     match serde_json::to_string(&GatewayStatus::collect(shared)) {
         Ok(text) => text,
@@ -241,10 +278,11 @@
     }
 }
 
-/// Answers each request on a listener with the response that `respond` returns for its path.
+/// Answers each request on a listener with the response that `respond` returns for its path and
+/// body.
 async fn serve_by_path<F>(listener: TcpListener, respond: F)
 where
-    F: Fn(&Method, &str) -> Response<response::ResponseBody> + Clone + 'static,
+    F: Fn(&Method, &str, &[u8]) -> Response<response::ResponseBody> + Clone + 'static,
 {
     loop {
         let stream = match listener.accept().await {
@@ -258,8 +296,18 @@
         let respond = respond.clone();
         ntex::rt::spawn(async move {
             let service = service_fn(move |request: Request<Incoming>| {
-                let response = respond(request.method(), request.uri().path());
-                async move { Ok::<_, Infallible>(response) }
+                let respond = respond.clone();
+                async move {
+                    let (parts, body) = request.into_parts();
+                    let response = match Limited::new(body, MAX_ORDER_BYTES).collect().await {
+                        Ok(body) => respond(&parts.method, parts.uri.path(), &body.to_bytes()),
+                        Err(error) => {
+                            tracing::info!(%error, "failed to read an operator's request");
+                            response::empty(StatusCode::BAD_REQUEST)
+                        }
+                    };
+                    Ok::<_, Infallible>(response)
+                }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -5,6 +5,7 @@
 mod check;
 mod diff;
 mod entry_client;
+mod explain;
 mod gateway;
 mod key_hash;
 mod output;
@@ -18,10 +19,13 @@
 
 use {
     crate::timeline::RequestName,
-    cactusspur_core::gateway::Culprit,
+    cactusspur_core::{
+        DurationMs, Tokens,
+        gateway::{Culprit, RequestDigest},
+    },
     clap::{Args, CommandFactory, Parser, Subcommand},
     clap_complete::Shell,
-    std::{io, net::SocketAddr, path::PathBuf},
+    std::{io, net::SocketAddr, num::ParseIntError, path::PathBuf},
 };
 
 const EXIT_CODES: &str = "\
@@ -70,6 +74,12 @@
     /// Shows the state of gateways on another platform and their view of its backend servers.
     #[command(after_help = "Example:\n  cactusspur gateway --metrics 10.1.0.30:9464")]
     Gateway(GatewayArguments),
+    /// Shows where a gateway on another platform would send a request now, and why, without sending it.
+    #[command(after_help = "Examples:\n  \
+        cactusspur explain --metrics 10.1.0.30:9464 --host api.example --path /read/x --customer shop\n  \
+        printf %s \"$API_KEY\" | cactusspur explain --metrics 10.1.0.30:9464 --host api.example \\\n    \
+        --path /check/x --key-from-stdin --model m --parts a1:100,b2:200 --max-answer-tokens 20")]
+    Explain(ExplainArguments),
     /// Shows the events of all entry VMs, ordered so that causes precede their effects.
     #[command(after_help = "Examples:\n  \
         cactusspur timeline --entry 10.0.0.11:8082 --class stone-hold\n  \
@@ -145,6 +155,50 @@
     pub lift: Option<Culprit>,
 }
 
+/// The arguments of `explain`.
+#[derive(Debug, Args)]
+pub struct ExplainArguments {
+    /// The metrics address of a gateway; may be given several times. Each answers for itself.
+    #[arg(long, value_name = "IP:PORT", required = true)]
+    pub metrics: Vec<SocketAddr>,
+    /// The requested host.
+    #[arg(long)]
+    pub host: String,
+    /// The requested path.
+    #[arg(long)]
+    pub path: String,
+    /// The name of the customer.
+    #[arg(long, value_name = "NAME", conflicts_with = "key_from_stdin")]
+    pub customer: Option<String>,
+    /// Read the caller's API key from standard input.
+    #[arg(long)]
+    pub key_from_stdin: bool,
+    /// The model.
+    #[arg(long, value_name = "NAME")]
+    pub model: Option<String>,
+    /// The parts of the prompt with their lengths in tokens. The last one belongs to this request only.
+    #[arg(
+        long,
+        value_name = "ID:TOKENS,...",
+        requires = "model",
+        default_value = ""
+    )]
+    pub parts: String,
+    /// The maximum length of the answer in tokens; 0 if the caller gives none.
+    #[arg(long, value_name = "TOKENS", default_value = "0")]
+    pub max_answer_tokens: Tokens,
+    /// How long the caller waits, in milliseconds.
+    #[arg(long, value_name = "MS")]
+    pub deadline_ms: Option<DurationMs>,
+    /// The digest of the request in logs, by which gateways recognize a request that crashes servers.
+    #[arg(long, value_name = "ID", value_parser = parse_digest)]
+    pub digest: Option<RequestDigest>,
+}
+
+fn parse_digest(text: &str) -> Result<RequestDigest, ParseIntError> {
+    u64::from_str_radix(text, 16).map(RequestDigest)
+}
+
 /// The arguments of `timeline`.
 #[derive(Debug, Args)]
 pub struct TimelineArguments {
@@ -182,6 +236,9 @@
         Command::Apply(arguments) => apply::run(&arguments, format, out).await,
         Command::Status(arguments) => status::run(&arguments, format, out).await,
         Command::Gateway(arguments) => gateway::run(&arguments, format, out).await,
+        Command::Explain(arguments) => {
+            explain::run(&arguments, &mut io::stdin(), format, out).await
+        }
         Command::Timeline(arguments) => timeline::run(&arguments, format, out).await,
         Command::KeyHash => key_hash::run(&mut io::stdin(), format, out),
         Command::Completions { shell } => {
--- a/src/operator/entry_client.rs
+++ b/src/operator/entry_client.rs
@@ -87,6 +87,31 @@
     serde_json::from_slice(&body).map_err(|error| failure(error.to_string()))
 }
 
+/// Posts `query` as JSON to an entry VM, and parses the JSON that it returns.
+pub(super) async fn ask<Q, T>(address: SocketAddr, path: &str, query: &Q) -> Result<T, Failure>
+where
+    Q: Serialize,
+    T: DeserializeOwned,
+{
+    let failure = |text: String| Failure::Entry(format!("{address}: {text}"));
+    let exchange = async {
+        let client = Client::new().await;
+        let request = client.post(format!("http://{address}{path}"));
+        let response = request.timeout(REQUEST_TIMEOUT).send_json(query).await;
+        let response = response.map_err(|error| failure(error.to_string()))?;
+        if !response.status().is_success() {
+            return Err(failure(format!("status {}", response.status())));
+        }
+        let body = response.body().limit(MAX_ANSWER_BYTES).await;
+        body.map_err(|error| failure(error.to_string()))
+    };
+    let body = match timeout(REQUEST_TIMEOUT, exchange).await {
+        Ok(body) => body?,
+        Err(()) => return Err(failure("no answer".to_owned())),
+    };
+    serde_json::from_slice(&body).map_err(|error| failure(error.to_string()))
+}
+
 /// Sends an entry VM an order without a body.
 pub(super) async fn post(address: SocketAddr, path: &str) -> Result<(), Failure> {
     let failure = |text: String| Failure::Entry(format!("{address}: {text}"));
