Usage caps: hold each customer's use to its cap over all gateways

Cause: nothing limited what one customer has run over all gateways; a burst ran 9.65 million tokens in 8 s where 9.22 were allowed.

Change: each gateway estimates one bucket per capped customer from its own use and from rows of cumulative counters on notices and digests. High levels are spent anywhere, low ones by shares that follow demand; shares of silent gateways stay reserved. Over the cap: 429 with Retry-After. Attempts that may have run count, those that certainly haven't are refunded. Without the settings or without a cap nothing changes.

--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod routing;
 pub mod send_limit;
 pub mod stream_origin;
+pub mod usage;
 
 pub use {
     admission::{TooLate, check_in_time, retry_after},
@@ -44,4 +45,8 @@
     stream_origin::{
         PastVersion, PastVersions, SoftwareKey, StreamKey, StreamOrigin, StreamOrigins,
     },
+    usage::{
+        Charge, Fleet, OverCap, UsageCap, UsageLimits, UsageOrigin, UsageRequest, UsageRow,
+        UsageState, UsageTable, UsageUnit,
+    },
 };
--- a/core/src/gateway/routing.rs
+++ b/core/src/gateway/routing.rs
@@ -1,6 +1,7 @@
 //! Maps requests to routes, services and customers, with the limits that apply.
 
 use {
+    super::usage::UsageCap,
     crate::{id::WorkerId, unit::DurationMs},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -146,6 +147,8 @@
     pub priority: Option<u8>,
     /// Whether the customer shares no cached prompt work with others.
     pub isolated: bool,
+    /// The cap on the customer's use over all entry VMs.
+    pub cap: Option<UsageCap>,
 }
 
 /// Limits on callers' requests and connections.
@@ -249,6 +252,11 @@
         !self.customers.is_empty()
     }
 
+    /// All customers.
+    pub fn customers(&self) -> impl Iterator<Item = &CustomerSpec> {
+        self.customers.iter()
+    }
+
     /// The customer that an API key identifies.
     #[must_use]
     pub fn customer(&self, key: &str) -> Option<&CustomerSpec> {
--- a/core/src/verdict.rs
+++ b/core/src/verdict.rs
@@ -67,6 +67,9 @@
     /// Engines crash when they begin to answer requests with a part of the prompt.
     #[display("engines crash on the prompt")]
     CrashesEngines,
+    /// The customer has used what its cap permits.
+    #[display("over the usage cap")]
+    OverCap,
 }
 
 /// The final answer to a request that is not served.
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -11,3 +11,4 @@
 mod rollout;
 mod routing;
 mod stream_origin;
+mod usage;
--- a/core/tests/gateway/routing.rs
+++ b/core/tests/gateway/routing.rs
@@ -39,6 +39,7 @@
         keys: vec![key.to_owned()],
         priority: None,
         isolated: false,
+        cap: None,
     };
     RoutingTable::new(
         7,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,6 +27,7 @@
 pub mod status;
 pub mod store;
 pub mod store_polls;
+pub mod usage;
 pub mod versions;
 pub mod watch;
 pub mod weights;
@@ -36,7 +37,10 @@
         clock::now, link::ConnectionPool, peers::PeerGroup, protocol::PlatformProtocol,
         state::GatewayState, store::MetadataStore,
     },
-    cactusspur_core::{DurationMs, TimeMs, gateway::RetryBudgetLimits},
+    cactusspur_core::{
+        DurationMs, TimeMs,
+        gateway::{RetryBudgetLimits, UsageLimits},
+    },
     derive_more::Display,
     error_stack::Report,
     std::{
@@ -69,6 +73,8 @@
     pub shared_key: String,
     /// The limits on retries.
     pub retry_budget: RetryBudgetLimits,
+    /// How far customers' use may exceed their caps; `None` enforces no caps.
+    pub usage: Option<UsageLimits>,
     /// How long after new weights are announced a request may still start on older ones.
     pub old_weights_grace_ms: DurationMs,
     /// How soon a change of the configuration must be in force.
@@ -116,6 +122,8 @@
     pub quarantine_changed: Notify,
     /// Notified when another gateway has told where streams began.
     pub streams_learned: Notify,
+    /// Whether a report of customers' use is scheduled.
+    pub is_usage_report_due: Cell<bool>,
     /// Notified when weights are announced and when an engine is added or changed.
     pub weights_changed: Notify,
 }
@@ -171,6 +179,7 @@
             store_answers: Notify::new(),
             quarantine_changed: Notify::new(),
             streams_learned: Notify::new(),
+            is_usage_report_due: Cell::new(false),
             weights_changed: Notify::new(),
             settings,
         });
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -7,6 +7,7 @@
         protocol::{ForwardHead, ModelForwardHead, RequestHead},
         quarantine::Trial,
         state::SentTo,
+        usage::UsageMeter,
     },
     bytes::Bytes,
     cactusspur_core::{
@@ -20,7 +21,11 @@
     },
     http::{HeaderMap, Method, Request, Uri, uri::PathAndQuery},
     http_body_util::Full,
-    std::{cell::Cell, net::SocketAddr, rc::Rc},
+    std::{
+        cell::{Cell, OnceCell},
+        net::SocketAddr,
+        rc::Rc,
+    },
 };
 
 /// The largest priority value that backend servers support, which is the lowest priority.
@@ -53,6 +58,7 @@
     /// The software version that the stream is bound to, once it is known to have begun.
     software: Cell<Option<SoftwareKey>>,
     lost_servers: Cell<usize>,
+    usage: OnceCell<UsageMeter>,
     method: Method,
     path: Uri,
     headers: HeaderMap,
@@ -163,6 +169,7 @@
             },
             software: Cell::new(None),
             lost_servers: Cell::new(0),
+            usage: OnceCell::new(),
             prefix_hashes,
             random,
         }
@@ -199,6 +206,19 @@
         self.software.set(Some(software));
     }
 
+    /// Counts the request's attempts under its customer's cap from now on.
+    pub fn meter_usage(&self, meter: UsageMeter) {
+        if self.usage.set(meter).is_err() {
+            tracing::error!(request = self.head.request_id, "use is counted twice");
+        }
+    }
+
+    /// Counts the request's use; `None` if its customer has no cap.
+    #[must_use]
+    pub fn usage(&self) -> Option<&UsageMeter> {
+        self.usage.get()
+    }
+
     /// Records that a server crashed while it ran the request and had sent no event or whole answer.
     pub fn record_lost_server(&self) {
         self.lost_servers.set(self.lost_servers.get() + 1);
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -12,8 +12,11 @@
     },
     crate::peer::PeerRequest,
     cactusspur_core::{
-        DurationMs, EntryId, TimeMs, VecMap, WorkerId,
-        gateway::{Load, Pace, PartState, PartUpdate, PastVersion, QuarantineReport, StreamOrigin},
+        CustomerId, DurationMs, EntryId, TimeMs, VecMap, WorkerId,
+        gateway::{
+            Load, Pace, PartState, PartUpdate, PastVersion, QuarantineReport, StreamOrigin,
+            UsageOrigin, UsageRow,
+        },
     },
     derive_more::{Display, From, Into},
     serde::{Deserialize, Serialize},
@@ -99,6 +102,8 @@
     pub streams: Vec<StreamOrigin>,
     /// What is known of crashes of servers.
     pub quarantine: QuarantineReport,
+    /// What gateways used and were asked for of customers' caps.
+    pub usage: Vec<UsageRow>,
     /// The state of the rollout, from the holder of the order lease.
     pub rollout: Option<RolloutNotice>,
     /// Some members of the sender's failure domain.
@@ -121,6 +126,7 @@
             && self.kept_stores.is_empty()
             && self.streams.is_empty()
             && self.quarantine.is_empty()
+            && self.usage.is_empty()
             && self.rollout.is_none()
             && self.members.is_empty()
             && self.domains.is_empty()
@@ -136,6 +142,7 @@
         self.kept_stores.extend(other.kept_stores);
         self.streams.extend(other.streams);
         self.quarantine.merge(other.quarantine);
+        self.usage.extend(other.usage);
         self.rollout = other.rollout.or(self.rollout.take());
     }
 
@@ -148,6 +155,8 @@
         const MEMBER_ROWS: usize = 3;
         /// So does a crash, and each request in it with its parts.
         const CRASH_ROWS: usize = 4;
+        /// A row of use takes about as much as this many others.
+        const USAGE_ROWS: usize = 2;
 
         let mut packets = Vec::new();
         let mut current = Self {
@@ -201,6 +210,10 @@
             make_room(&mut current, 1);
             current.quarantine.trials.push(row);
         }
+        for row in self.usage {
+            make_room(&mut current, USAGE_ROWS);
+            current.usage.push(row);
+        }
         for row in self.decode_heavy_requests {
             make_room(&mut current, 1);
             current.decode_heavy_requests.push(row);
@@ -227,6 +240,7 @@
     kept_stores: VecMap<SocketAddr, Option<u64>>,
     streams: Vec<StreamOrigin>,
     quarantine: QuarantineReport,
+    usage: VecMap<(UsageOrigin, CustomerId), UsageRow>,
     rollout: Option<RolloutNotice>,
 }
 
@@ -261,6 +275,15 @@
         self.streams.extend(streams.iter().take(room));
     }
 
+    /// Keeps the latest row of each gateway and customer.
+    fn add_usage(&mut self, rows: &[UsageRow]) {
+        for row in rows {
+            if self.usage.len() < MAX_ROWS {
+                self.usage.insert((row.origin, row.customer), *row);
+            }
+        }
+    }
+
     fn take(&mut self) -> Digest {
         let Self {
             sent_requests,
@@ -271,6 +294,7 @@
             kept_stores,
             streams,
             quarantine,
+            usage,
             rollout,
         } = std::mem::take(self);
         let parts = parts.iter().map(|((part, worker), state)| PartUpdate {
@@ -291,6 +315,7 @@
             kept_stores: kept_stores.iter().map(|row| (*row.0, *row.1)).collect(),
             streams,
             quarantine,
+            usage: usage.iter().map(|row| *row.1).collect(),
             rollout,
             ..Digest::default()
         }
@@ -346,6 +371,7 @@
             pending.kept_stores.insert(*store, *incarnation);
         }
         pending.add_streams(&notice.streams);
+        pending.add_usage(&notice.usage);
         // The periodic report of each member would only repeat that of the gateway that merges.
         if notice.status.is_none() {
             pending.quarantine.merge(notice.quarantine.clone());
@@ -379,6 +405,7 @@
             pending.kept_stores.insert(store, incarnation);
         }
         pending.add_streams(&digest.streams);
+        pending.add_usage(&digest.usage);
         if digest.status.is_none() {
             pending.quarantine.merge(digest.quarantine);
         }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,7 +9,7 @@
         protocol::ResponseHead,
         quarantine, relay,
         response::{self, ResponseBody},
-        versions, weights,
+        usage, versions, weights,
     },
     bytes::Bytes,
     cactusspur_core::{
@@ -107,6 +107,10 @@
         .state
         .borrow_mut()
         .record_request(&call.service, now());
+    if let Err(refusal) = usage::admit(&shared, &call) {
+        let (request, route) = (&call.head.request_id, &call.route.name);
+        return refuse(request, route, &refusal, "beyond the customer's cap");
+    }
     let response = match versions::bind_taken_up(&shared, &call).await {
         Ok(()) => dispatch(&shared, &call).await,
         Err(error) => {
@@ -461,12 +465,17 @@
         });
     }
     let in_flight = InFlightRequest::start(shared, call, choice);
+    let usage = call.usage();
+    usage.inspect(|usage| usage.record_attempt());
     log_sent(shared, call, choice, last_event);
     call.record_parts(shared, choice, false);
     let reply = shared.connection_pool.send(address, request).await;
     let reply = match reply {
         Ok(reply) => reply,
         Err(failure) => {
+            if failure.verdict == Verdict::NotRun {
+                usage.inspect(|usage| usage.record_not_run());
+            }
             if failure.verdict == Verdict::MayHaveRun {
                 quarantine::handle_lost_server(shared, call, &in_flight).await;
             }
@@ -498,6 +507,7 @@
         shared.peers.queue_load(choice.worker, load);
     }
     if head.is_not_run || head.is_misdirected {
+        usage.inspect(|usage| usage.record_not_run());
         return Err(handle_not_run(shared, choice, reply, &head).await);
     }
     Ok((reply, head, in_flight))
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -4,7 +4,7 @@
     super::replica::StoreVersion,
     cactusspur_core::{
         DurationMs, WeightsVersion, WorkerId,
-        gateway::{Load, Pace, PartUpdate, PastVersion, QuarantineReport, StreamOrigin},
+        gateway::{Load, Pace, PartUpdate, PastVersion, QuarantineReport, StreamOrigin, UsageRow},
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -31,6 +31,8 @@
     pub streams: Vec<StreamOrigin>,
     /// What the sender knows of crashes of servers.
     pub quarantine: QuarantineReport,
+    /// What gateways used and were asked for of customers' caps.
+    pub usage: Vec<UsageRow>,
     /// The sender's status, included periodically and after a change.
     pub status: Option<StatusNotice>,
     /// Whether the receiver must relay the notice to the other gateways of its failure domain.
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -763,6 +763,31 @@
         1 + counts.sum::<usize>()
     }
 
+    /// Peers that were never heard.
+    #[must_use]
+    pub fn unheard(&self) -> usize {
+        let unheard = self
+            .rows
+            .iter()
+            .filter(|peer| peer.last_notice_at_ms.is_none());
+        unheard.count()
+    }
+
+    /// The gateways that share a common budget and were heard lately, this one included. Of other
+    /// domains in a large fleet only their summaries are heard.
+    #[must_use]
+    pub fn heard_sharers(&self, now: TimeMs) -> usize {
+        let counts = self.domains().into_iter().map(|domain| {
+            let running = self.running_in(domain, now).count();
+            let members = self.rows.iter().filter(|peer| peer.domain == domain);
+            let summary = self.current_summary(domain, now);
+            summary
+                .filter(|summary| summary.known > members.count())
+                .map_or(running, |summary| summary.known)
+        });
+        1 + counts.sum::<usize>()
+    }
+
     /// The valid summary of another domain.
     fn current_summary(&self, domain: &str, now: TimeMs) -> Option<&KnownSummary> {
         let summary = self.summaries.get(&domain.to_owned())?;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -179,6 +179,12 @@
         self.send(shared, notice);
     }
 
+    /// Sends all peers what customers used and were asked for.
+    pub fn announce_usage(&self, shared: &Rc<Shared>) {
+        let notice = self.notice(shared, Vec::new());
+        self.send(shared, notice);
+    }
+
     /// Sends all peers the state of the rollout that this gateway runs as the holder of the order
     /// lease.
     pub fn announce_rollout(&self, shared: &Rc<Shared>, rollout: RolloutNotice) {
@@ -405,6 +411,10 @@
     fn send(&self, shared: &Rc<Shared>, notice: Notice) {
         let now = now();
         let mut state = shared.state.borrow_mut();
+        let notice = Notice {
+            usage: state.report_usage(now),
+            ..notice
+        };
         if !state.peers.is_large_fleet(now) {
             drop(state);
             self.send_directly(shared, notice);
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -22,6 +22,10 @@
     pub deadline_ms: Option<DurationMs>,
     /// The API key that identifies the customer.
     pub api_key: Option<String>,
+    /// The tokens of the prompt, by the caller's count; `None` if it sends no counts.
+    pub prompt_tokens: Option<Tokens>,
+    /// The most tokens of the answer; 0 if the caller names none.
+    pub max_answer_tokens: Tokens,
     /// The prompt; `None` for a request that isn't for a model.
     pub prompt: Option<Prompt>,
     /// The id of the last event that the caller received of a stream that it wants resumed.
@@ -30,6 +34,15 @@
     pub resumes: Option<String>,
 }
 
+impl RequestHead {
+    /// The tokens of the prompt and the most of the answer together; `None` without counts.
+    #[must_use]
+    pub fn total_tokens(&self) -> Option<Tokens> {
+        self.prompt_tokens
+            .map(|prompt| Tokens(prompt.0.saturating_add(self.max_answer_tokens.0)))
+    }
+}
+
 /// A description of a prompt by the ids and lengths of its parts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Prompt {
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -110,18 +110,23 @@
     with_body(status, HeaderMap::new(), Bytes::new())
 }
 
-/// The response for a refusal: 503 with `Retry-After` when the request has not run, or 422 if it never
-/// can; otherwise 504 for an overload and 502 for any other cause.
+/// The response for a refusal: 503 with `Retry-After` when the request has not run, 429 if its
+/// customer's cap has no room, or 422 if it never can; otherwise 504 for an overload and 502 for any other cause.
 #[must_use]
 pub fn from_refusal(refusal: &Refusal) -> Response<ResponseBody> {
     let status = match (refusal.verdict, refusal.cause) {
         (Verdict::MayHaveRun, Cause::Overload) => StatusCode::GATEWAY_TIMEOUT,
         (Verdict::MayHaveRun, _) => StatusCode::BAD_GATEWAY,
+        (Verdict::NotRun, Cause::OverCap) => StatusCode::TOO_MANY_REQUESTS,
         (Verdict::NotRun, Cause::CrashesEngines) => StatusCode::UNPROCESSABLE_ENTITY,
         (Verdict::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
     };
     let mut response = empty(status);
-    if status == StatusCode::SERVICE_UNAVAILABLE {
+    let may_return = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    if may_return.contains(&status) {
         let DurationMs(retry_after_ms) = refusal.retry_after_ms;
         let seconds = format!("{}.{:03}", retry_after_ms / 1_000, retry_after_ms % 1_000);
         if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,11 +15,11 @@
         store_polls::{PollTimes, StorePolls},
     },
     cactusspur_core::{
-        DurationMs, TimeMs, VecMap, WeightsVersion, WorkerId,
+        DurationMs, EntryId, TimeMs, VecMap, WeightsVersion, WorkerId,
         gateway::{
             AnnouncedWeights, Backend, BackendTable, CachedParts, Load, PartUpdate, PastVersion,
             PastVersions, Quarantine, RetryBudget, RoutingTable, SoftwareKey, StreamOrigin,
-            StreamOrigins,
+            StreamOrigins, UsageOrigin, UsageTable,
         },
     },
     std::rc::Rc,
@@ -69,6 +69,8 @@
     pub cached_parts: CachedParts,
     /// The budget that limits retries of each service.
     pub retry_budget: RetryBudget,
+    /// The use of customers with caps.
+    pub usage: UsageTable,
     /// The weights that were announced, oldest version first, by model.
     pub announced_weights: VecMap<String, Vec<AnnouncedWeights>>,
     /// The state of the KV cache stores.
@@ -119,6 +121,11 @@
             backends: BackendTable::default(),
             cached_parts: CachedParts::default(),
             retry_budget: RetryBudget::new(settings.retry_budget),
+            usage: UsageTable::new(
+                settings.usage,
+                UsageOrigin(Origin::of(EntryId::from_name(&settings.name)).0),
+                now(),
+            ),
             announced_weights: VecMap::default(),
             kept_stores: KeptStoreStates::default(),
             stream_origins: StreamOrigins::default(),
@@ -285,7 +292,7 @@
     ) -> bool {
         match update {
             Some(RowUpdate::Routing(routing)) => {
-                self.apply_routing(*routing, row.version);
+                self.apply_routing(*routing, row.version, now);
                 false
             }
             Some(RowUpdate::Weights { model, version }) => self.apply_weights(&model, version, now),
@@ -324,7 +331,7 @@
     }
 
     /// Puts a configuration in force if its version is higher than the current one.
-    fn apply_routing(&mut self, routing: RoutingTable, row_version: StoreVersion) {
+    fn apply_routing(&mut self, routing: RoutingTable, row_version: StoreVersion, now: TimeMs) {
         let in_force = self.routing.as_ref().map(|routing| routing.version);
         if in_force.is_some_and(|version| version >= routing.version) {
             return;
@@ -338,6 +345,7 @@
         let longest_ms = routing.longest_stream_ms();
         self.stream_origins
             .set_lifetime(DurationMs(longest_ms.0 * STREAM_ATTEMPTS));
+        self.apply_caps(&routing, now);
         self.routing = Some(Rc::new(routing));
     }
 
@@ -405,6 +413,7 @@
         let past_versions = status.map_or(&[][..], |status| &status.past_versions);
         self.past_versions.apply(past_versions, now);
         self.apply_stream_origins(&notice.streams, now);
+        self.usage.apply(&notice.usage, now);
         for (worker, sample) in &notice.paces {
             if let Some(backend) = self.backends.get_mut(*worker) {
                 backend.pace.learn(*sample);
@@ -441,6 +450,7 @@
             self.past_versions.apply(&status.past_versions, now);
         }
         self.apply_stream_origins(&digest.streams, now);
+        self.usage.apply(&digest.usage, now);
         for (worker, load) in &digest.loads {
             self.record_load(*worker, *load, now);
         }
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -3,8 +3,8 @@
 use {
     super::{Shared, clock::now, notice::WeightsNotice, state::GatewayState},
     cactusspur_core::{
-        DurationMs, TimeMs, WeightsVersion,
-        gateway::{Backend, Suspect},
+        CustomerId, DurationMs, TimeMs, WeightsVersion,
+        gateway::{Backend, RoutingTable, Suspect, UsageState},
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -44,6 +44,9 @@
     pub suspects: Vec<Suspect>,
     /// The retries that are left in the budget, by service.
     pub repeats_left: Vec<(String, u64)>,
+    /// The use of customers with caps that was counted, by the customer's name.
+    #[serde(default)]
+    pub usage: Vec<(String, UsageState)>,
     /// The backend servers.
     pub backends: Vec<BackendStatus>,
 }
@@ -125,6 +128,7 @@
             cached_parts: state.cached_parts.len(),
             suspects: state.quarantine.suspects(now),
             repeats_left: state.retry_budget.remaining().collect(),
+            usage: state.usage_rows(),
             backends: state
                 .backends
                 .iter()
@@ -134,6 +138,32 @@
     }
 }
 
+impl GatewayState {
+    /// The use of each customer with a cap that is known, by name.
+    pub fn usage_states<'a>(
+        &self,
+        routing: &'a RoutingTable,
+    ) -> impl Iterator<Item = (&'a str, UsageState)> {
+        let states: Vec<UsageState> = self.usage.states().collect();
+        let capped = routing
+            .customers()
+            .filter(|customer| customer.cap.is_some());
+        capped.filter_map(move |customer| {
+            let id = CustomerId::from_name(&customer.name);
+            let found = states.binary_search_by_key(&id, |state| state.customer);
+            Some((customer.name.as_str(), states[found.ok()?]))
+        })
+    }
+
+    fn usage_rows(&self) -> Vec<(String, UsageState)> {
+        let Some(routing) = &self.routing else {
+            return Vec::new();
+        };
+        let rows = self.usage_states(routing);
+        rows.map(|(name, usage)| (name.to_owned(), usage)).collect()
+    }
+}
+
 fn kept_stores(state: &GatewayState) -> Vec<KeptStoreStatus> {
     let routing = state.routing.iter();
     let stores = routing.flat_map(|routing| routing.kept_stores());
--- a/src/openai.rs
+++ b/src/openai.rs
@@ -267,7 +267,7 @@
         | Cause::KeyMismatch
         | Cause::OverCost
         | Cause::CrashesEngines => "invalid_request_error",
-        Cause::OverShare => "rate_limit_error",
+        Cause::OverShare | Cause::OverCap => "rate_limit_error",
         Cause::NoCredits => "insufficient_quota",
         _ => "server_error",
     }
@@ -279,7 +279,7 @@
     match cause {
         Cause::Unknown => 404,
         Cause::BadRequest => 400,
-        Cause::OverShare | Cause::NoCredits => 429,
+        Cause::OverShare | Cause::NoCredits | Cause::OverCap => 429,
         Cause::KeyInUse => 409,
         Cause::KeyMismatch | Cause::OverCost | Cause::CrashesEngines => 422,
         Cause::BackendFailed => 502,
--- a/src/operator/gateway.rs
+++ b/src/operator/gateway.rs
@@ -9,7 +9,7 @@
         server::LIFT_PATH,
         status::{BackendStatus, GatewayStatus},
     },
-    cactusspur_core::gateway::Suspect,
+    cactusspur_core::gateway::{Suspect, UsageState},
     std::{io, iter},
 };
 
@@ -66,6 +66,7 @@
     lines.extend(status.suspects.iter().map(describe_suspect));
     let repeats = status.repeats_left.iter();
     lines.extend(repeats.map(|(service, left)| format!("  repeats left   {service} {left}")));
+    lines.extend(status.usage.iter().map(describe_usage));
     lines.extend(iter::once(format!(
         "  {:<16} {:<10} {:<21} {:>7} {:>9} {:>8} {:>8}  STATE",
         "SERVER", "SERVICE", "ADDRESS", "WEIGHTS", "REQUESTS", "QUEUE MS", "FAILING"
@@ -86,6 +87,18 @@
     )
 }
 
+fn describe_usage((customer, usage): &(String, UsageState)) -> String {
+    format!(
+        "  usage          {customer}: level {}, cap {} a second, share {}.{}%, {} used and {} requests refused here",
+        usage.level,
+        usage.rate_per_s,
+        usage.share_milli / 10,
+        usage.share_milli % 10,
+        usage.used,
+        usage.refused
+    )
+}
+
 fn describe_backend(backend: &BackendStatus) -> String {
     let weights = backend.weights.first().map(|row| row.1.0.to_string());
     let state = match (backend.is_ready, backend.takes_requests) {
--- a/tests/gateway_state.rs
+++ b/tests/gateway_state.rs
@@ -54,6 +54,7 @@
             allowance: 50,
             window_ms: 10_000,
         },
+        usage: None,
         old_weights_grace_ms: DurationMs(10_000),
         configuration_limit_ms: DurationMs(2_000),
         drain_limit_ms: DurationMs(2_000),
