--- a/src/gateway/explain.rs
+++ b/src/gateway/explain.rs
@@ -240,6 +240,7 @@
     };
     let parts = shared.protocol.parse_prompt_parts(&query.parts);
     let parts = parts.map_err(|_| Outcome::Malformed)?;
+    let prompt_tokens = Tokens(parts.iter().map(|part| part.tokens.0).sum());
     let prompt = query.model.as_ref().map(|model| Prompt {
         model: model.clone(),
         parts,
@@ -251,6 +252,8 @@
         deadline_ms: query.deadline_ms,
         api_key,
         prompt,
+        prompt_tokens: Some(prompt_tokens).filter(|tokens| *tokens > Tokens(0)),
+        max_answer_tokens: query.max_answer_tokens,
         last_event: None,
         resumes: None,
     })
