Usage caps: reserve the shares of late gateways as they were heard; report by turns

Cause: the share reserved for a gateway that isn't heard shrank while demand grew here before its silence was noticed; use in a low bucket was reported less often than others expected it; of more than 30 due customers the later ones were never reported; every account was looked at for each notice.

Change: a share follows demand only while reports are less than 150 ms late; gateways report at nine tenths of a bucket as often as below; due rows go oldest first and only active customers are looked at; gauges are set once a second.

--- a/core/src/gateway/usage.rs
+++ b/core/src/gateway/usage.rs
@@ -174,6 +174,8 @@
     origin: UsageOrigin,
     caps: VecMap<CustomerId, UsageCap>,
     accounts: VecMap<CustomerId, Account>,
+    /// Customers that asked for something here and may have to be reported.
+    active: VecMap<CustomerId, ()>,
     fleet: Fleet,
     /// When the process started, or resumed after it was suspended.
     started_at_ms: TimeMs,
@@ -189,6 +191,7 @@
             origin,
             caps: VecMap::default(),
             accounts: VecMap::default(),
+            active: VecMap::default(),
             fleet: Fleet { known: 1, heard: 1 },
             started_at_ms: now,
             last_event_at_ms: now,
@@ -231,6 +234,7 @@
         let Some(terms) = self.terms(now) else {
             return Ok(charge);
         };
+        self.active.insert(request.customer, ());
         let account = self.account(request.customer, request.cap, &terms, now);
         account.set_cap(request.cap, now);
         account.ask(request.cost, &terms, now);
@@ -268,9 +272,25 @@
         let Some(terms) = self.terms(now) else {
             return Vec::new();
         };
-        let origin = self.origin;
-        let rows = self.accounts.iter_mut();
-        rows.filter_map(|(customer, account)| account.report(origin, *customer, &terms, now))
+        let accounts = &self.accounts;
+        self.active.retain(|customer, ()| {
+            let account = accounts.get(customer);
+            account.is_some_and(|account| account.next_report_ms(&terms, now).is_some())
+        });
+        let active = self.active.iter();
+        let mut due: Vec<(TimeMs, CustomerId)> = active
+            .filter_map(|(customer, ())| {
+                Some((accounts.get(customer)?.reported_at_ms(), *customer))
+            })
+            .collect();
+        due.sort_unstable();
+        let (origin, accounts) = (self.origin, &mut self.accounts);
+        due.into_iter()
+            .filter_map(|(_, customer)| {
+                accounts
+                    .get_mut(&customer)?
+                    .report(origin, customer, &terms, now)
+            })
             .take(MAX_ROWS)
             .collect()
     }
@@ -279,8 +299,11 @@
     #[must_use]
     pub fn next_report_ms(&self, now: TimeMs) -> Option<DurationMs> {
         let terms = self.terms(now)?;
-        let accounts = self.accounts.iter();
-        let waits = accounts.filter_map(|row| row.1.next_report_ms(&terms, now));
+        let active = self.active.iter();
+        let waits = active.filter_map(|(customer, ())| {
+            let account = self.accounts.get(customer)?;
+            account.next_report_ms(&terms, now)
+        });
         waits.min()
     }
 
--- a/core/src/gateway/usage/account.rs
+++ b/core/src/gateway/usage/account.rs
@@ -18,6 +18,8 @@
 const EXCESS_OVERDRAWN: f64 = 0.5;
 /// The part of a full bucket below which a customer counts as close to its cap.
 const LOW_LEVEL: f64 = 0.75;
+/// The part below which it is reported as often.
+const LOW_REPORT_LEVEL: f64 = 0.9;
 /// How fast the level is steered back to zero, in seconds.
 const STEERING_S: f64 = 1.0;
 /// The most by which the refill of stocks is scaled.
@@ -40,6 +42,11 @@
 const LOW_SILENCE_MS: DurationMs = DurationMs(300);
 /// The same for other customers.
 const HIGH_SILENCE_MS: DurationMs = DurationMs(1_500);
+/// How late the report of an entry VM may be, for such a customer, before its share is reserved.
+const LATE_MS: DurationMs = DurationMs(150);
+/// The demand from which on a silent entry VM's share is reserved, in that which needs a report. One that
+/// stopped to report has less.
+const MIN_RESERVED: f64 = 4.0;
 /// How much rarer reports are where notices are merged.
 const LARGE_FLEET_FACTOR: u64 = 2;
 /// How much later reports arrive there.
@@ -183,6 +190,10 @@
     heard_demand: f64,
     /// The share of the entry VMs that are heard.
     group_share: f64,
+    /// The share of those that fell silent.
+    silent_share: f64,
+    /// The part of the refill that those which aren't silent spend.
+    level_share: f64,
     own_share: f64,
     shared_at_ms: Option<TimeMs>,
     /// When the room that callers were told of ends.
@@ -218,6 +229,8 @@
             peers: VecMap::default(),
             heard_demand: 0.0,
             group_share: 1.0 / terms.known,
+            silent_share: 0.0,
+            level_share: 1.0 / terms.known,
             own_share: 1.0 / terms.known,
             shared_at_ms: None,
             promised_until_ms: now,
@@ -367,7 +380,7 @@
             self.own_share = self.share_of(mean, terms);
         }
         self.demand *= decay;
-        let refilled = terms.rate(&self.cap) * self.group_share * passed_s;
+        let refilled = terms.rate(&self.cap) * self.level_share * passed_s;
         self.level = (self.level + refilled).min(burst);
         self.stock += self.refill_rate(terms, 0.0) * passed_s;
         // While much is left, the stock is the own part of it.
@@ -390,6 +403,14 @@
         base_ms + DurationMs(DIGEST_MS.0 * (terms.pace - 1))
     }
 
+    /// The silence after which a share doesn't follow the demand of others any more.
+    fn late_ms(&self, terms: &Terms) -> DurationMs {
+        match self.low_since_ms {
+            Some(_) => DurationMs(LATE_MS.0 * terms.pace),
+            None => self.silence_ms(terms),
+        }
+    }
+
     /// Divides the refill among the entry VMs that are heard, by their demand, beside what is reserved
     /// for silent ones.
     fn update_shares(&mut self, terms: &Terms, now: TimeMs) {
@@ -409,28 +430,36 @@
         let equal = 1.0 / terms.known;
         let rate = terms.rate(&self.cap);
         let unreported = terms.unreported(&self.cap);
+        let late_ms = self.late_ms(terms);
         let mut reserved = 0.0;
         let mut silent = 0.0;
+        let mut silent_share = 0.0;
         let mut heard_demand = 0.0;
         for (_, peer) in self.peers.iter_mut() {
             let silent_ms = now.since(peer.heard_at_ms.max(expected_at_ms));
-            if silent_ms < silence_ms || peer.demand < unreported {
+            if silent_ms < late_ms || peer.demand < unreported * MIN_RESERVED {
                 heard_demand += peer.demand;
                 continue;
             }
             let since_s = seconds(silent_ms.saturating_sub(silence_ms));
             let kept = (-since_s / EQUALIZING_S).exp2();
             let share = peer.share * kept + equal * (1.0 - kept);
-            peer.assumed += rate * share * passed_s;
             reserved += share;
-            silent += 1.0;
+            if silent_ms >= silence_ms {
+                peer.assumed += rate * share * passed_s;
+                silent_share += share;
+                silent += 1.0;
+            }
         }
         let unknown = (terms.missing - silent).max(0.0) * equal;
         let group_share = (1.0 - reserved - unknown).clamp(equal, 1.0);
-        if group_share < self.group_share && self.level > 0.0 {
+        let silent_share: f64 = silent_share.min(1.0 - equal);
+        if silent_share > self.silent_share && self.level > 0.0 {
             // The silent ones may spend their part of what is left.
-            self.level *= group_share / self.group_share;
+            self.level *= (1.0 - silent_share) / (1.0 - self.silent_share);
         }
+        self.silent_share = silent_share;
+        self.level_share = (1.0 - silent_share - unknown).clamp(equal, 1.0);
         self.group_share = group_share;
         let total = (heard_demand + self.demand).max(f64::MIN_POSITIVE);
         self.heard_demand = heard_demand;
@@ -505,10 +534,10 @@
         terms: &Terms,
         now: TimeMs,
     ) -> Option<UsageRow> {
-        self.refill(terms, now);
         if self.next_report_ms(terms, now)? > DurationMs(0) {
             return None;
         }
+        self.refill(terms, now);
         self.reported = Reported {
             used: self.used,
             asked: self.asked,
@@ -523,6 +552,11 @@
         })
     }
 
+    /// When the last report was made.
+    pub(super) const fn reported_at_ms(&self) -> TimeMs {
+        self.reported.at_ms
+    }
+
     /// When the next report is due; `None` if there is little to report.
     pub(super) fn next_report_ms(&self, terms: &Terms, now: TimeMs) -> Option<DurationMs> {
         let asked = difference(self.asked, self.reported.asked);
@@ -535,7 +569,9 @@
             return None;
         }
         let usual = real(self.cap.rate_per_s) * seconds(HIGH_REPORT_MS) / terms.known;
-        let is_urgent = self.low_since_ms.is_some() || changed >= usual;
+        // Others may see it as low a little earlier.
+        let is_low = self.level < terms.burst(&self.cap) * LOW_REPORT_LEVEL;
+        let is_urgent = is_low || changed >= usual;
         let period_ms = if is_urgent {
             LOW_REPORT_MS
         } else {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -18,7 +18,7 @@
         replica::{StoreVersion, TableCopy},
         state::GatewayState,
         store_polls::PollTimes,
-        watch,
+        usage, watch,
     },
     crate::{
         peer::{Envelope, PeerKey, PeerLink, PeerRequest, PeerResponse, PeerServer, SealedRequest},
@@ -685,6 +685,7 @@
 async fn announce_periodically(shared: Rc<Shared>) {
     loop {
         shared.peers.announce(&shared);
+        usage::record_levels(&shared);
         shared.connection_pool.close_expired();
         sleep(NOTICE_PERIOD).await;
     }
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -124,13 +124,12 @@
         sleep(Duration::from_millis(wait_ms.max(REPORT_DELAY_MS).0)).await;
         shared.is_usage_report_due.set(false);
         shared.peers.announce_usage(&shared);
-        record_levels(&shared);
         report_soon(&shared);
     });
 }
 
 /// Sets the gauges of customers' levels.
-fn record_levels(shared: &Shared) {
+pub fn record_levels(shared: &Shared) {
     let state = shared.state.borrow();
     let Some(routing) = &state.routing else {
         return;
