Decide under overload who is sent, sent last or refused

Cause: only requests that miss their deadline by 30 percent were refused, so under overload all were late. Change: gateway::overload compares calibrated predictions with targets and orders customers and routes.

--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod cached;
 pub mod choice;
+pub mod overload;
 pub mod pace;
 pub mod pause;
 mod prediction;
@@ -29,6 +30,10 @@
     choice::{
         AnnouncedWeights, Choice, ChoiceContext, Fetch, ModelCall, choose_model, choose_plain,
     },
+    overload::{
+        Applicant, AwaitedId, Decision, Outlook, Overload, OverloadChange, RatioPermille,
+        RefusalReason,
+    },
     pace::Pace,
     pause::Pause,
     quarantine::{
--- a/core/src/gateway/backend.rs
+++ b/core/src/gateway/backend.rs
@@ -337,6 +337,12 @@
         }
     }
 
+    /// Whether the server reported its load lately.
+    #[must_use]
+    pub fn has_recent_load(&self, now: TimeMs) -> bool {
+        self.load_age_ms(now) < LOAD_HALF_LIFE_MS
+    }
+
     /// The age of the latest reported load.
     #[must_use]
     pub fn load_age_ms(&self, now: TimeMs) -> DurationMs {
