--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod lease;
 pub mod link;
 pub mod notice;
+pub mod overload;
 pub mod peer_table;
 pub mod peers;
 pub mod protocol;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -4,6 +4,7 @@
     super::{
         Shared,
         clock::now,
+        overload::AwaitedToken,
         protocol::{ForwardHead, ModelForwardHead, RequestHead},
         quarantine::Trial,
         state::SentTo,
@@ -53,6 +54,7 @@
     /// The software version that the stream is bound to, once it is known to have begun.
     software: Cell<Option<SoftwareKey>>,
     lost_servers: Cell<usize>,
+    goes_last: Cell<bool>,
     method: Method,
     path: Uri,
     headers: HeaderMap,
@@ -163,6 +165,7 @@
             },
             software: Cell::new(None),
             lost_servers: Cell::new(0),
+            goes_last: Cell::new(false),
             prefix_hashes,
             random,
         }
@@ -210,6 +213,17 @@
         self.lost_servers.get() >= MAX_LOST_SERVERS
     }
 
+    /// Gives the request the lowest priority at its server, since it would be late in any case.
+    pub fn go_last(&self) {
+        self.goes_last.set(true);
+    }
+
+    /// Whether the request has the lowest priority at its server.
+    #[must_use]
+    pub fn goes_last(&self) -> bool {
+        self.goes_last.get()
+    }
+
     /// The parts of the prompt as the caller names them, for the log; `None` without a prompt.
     #[must_use]
     pub fn prompt_names(&self) -> Option<&str> {
@@ -324,7 +338,11 @@
                 cache_scope: CacheScope::new(&prompt.model, weights, self.isolated_customer())
                     .to_string(),
                 weights,
-                priority: self.priority(),
+                priority: if self.goes_last() {
+                    MAX_PRIORITY
+                } else {
+                    self.priority()
+                },
                 fetch_from: choice.fetch.and_then(|fetch| match fetch {
                     Fetch::Engine(worker) => engine(worker),
                     Fetch::KeptStore(id) => store(id),
@@ -402,7 +420,8 @@
     }
 
     /// The customer's priority, or else the route's, limited to the supported range.
-    fn priority(&self) -> u8 {
+    #[must_use]
+    pub fn priority(&self) -> u8 {
         let customer = self.customer.as_ref();
         let customer_priority = customer.and_then(|customer| customer.priority);
         customer_priority
@@ -417,6 +436,7 @@
     choice: Choice,
     sent_to: SentTo,
     is_prefilled: Cell<bool>,
+    awaited: Cell<Option<AwaitedToken>>,
     trial: Cell<Option<Trial>>,
 }
 
@@ -428,6 +448,11 @@
         let mut state = shared.state.borrow_mut();
         let sent_to = state.sent_to(choice.worker, sent_at_ms);
         state.decode_heavy_requests += u64::from(choice.is_decode_heavy);
+        let mut choice = *choice;
+        if call.goes_last() {
+            // Nobody waits for it.
+            choice.prefill_ms = DurationMs(0);
+        }
         if let Some(backend) = state.backends.get_mut(choice.worker) {
             backend.record_sent(choice.prefill_ms, sent_at_ms);
         }
@@ -439,10 +464,11 @@
         }
         Self {
             shared: Rc::clone(shared),
-            choice: *choice,
+            choice,
             sent_to,
             is_prefilled: Cell::new(false),
-            trial: Cell::new(Trial::begin(shared, call, choice)),
+            awaited: Cell::new(None),
+            trial: Cell::new(Trial::begin(shared, call, &choice)),
         }
     }
 
@@ -463,9 +489,23 @@
         drop(self.trial.take());
     }
 
+    /// Compares the time to the first token, or to the answer of a plain service, with the prediction.
+    pub fn await_token(&self, call: &Call) {
+        self.awaited
+            .set(AwaitedToken::begin(&self.shared, call, &self.choice));
+    }
+
+    /// Records the arrival of a whole answer that isn't streamed.
+    pub fn record_answer(&self) {
+        if let Some(awaited) = self.awaited.take() {
+            awaited.record_arrival();
+        }
+    }
+
     /// Records the arrival of the first token: the end of the prefill, and a sample of the engine's
     /// pace unless the prompt had to wait in a queue.
     pub fn record_first_token(&self) {
+        self.record_answer();
         self.record_prefill_ended();
         if self.choice.queue_ms > DurationMs(0) {
             return;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,6 +6,7 @@
         call::{AdmissionError, AttemptFailure, Call, InFlightRequest, ReceivedRequest, admit},
         clock::now,
         link::{ExchangeFailure, UnreadResponse},
+        overload,
         protocol::ResponseHead,
         quarantine, relay,
         response::{self, ResponseBody},
@@ -14,7 +15,7 @@
     bytes::Bytes,
     cactusspur_core::{
         Cause, DurationMs, Refusal, Verdict, WorkerId,
-        gateway::{Admission, CallKind, Choice, check_in_time, retry_after},
+        gateway::{Admission, CallKind, Choice, Decision, check_in_time, retry_after},
     },
     http::{Request, Response, StatusCode, header, response::Parts},
     http_body_util::{BodyExt, LengthLimitError, Limited},
@@ -209,6 +210,7 @@
     let mut may_have_run = false;
     let mut last_response = None;
     let mut backlog_ms = None;
+    let mut is_admitted = false;
     let mut why = "no backend server accepts new requests".to_owned();
     let is_quarantined = loop {
         let admission = quarantine::admit(shared, call);
@@ -249,6 +251,18 @@
             }
             break false;
         };
+        if !is_admitted {
+            match overload::decide(shared, call, &choice) {
+                Decision::Send => {}
+                Decision::SendLast => call.go_last(),
+                Decision::Refuse { reason, wait_ms } => {
+                    backlog_ms = Some(wait_ms);
+                    why = reason.to_string();
+                    break false;
+                }
+            }
+            is_admitted = true;
+        }
         if let Err(too_late) = check_in_time(&choice, call.remaining_ms()) {
             backlog_ms = Some(choice.queue_ms);
             why = too_late.to_string();
@@ -461,6 +475,9 @@
         });
     }
     let in_flight = InFlightRequest::start(shared, call, choice);
+    if last_event.is_none() {
+        in_flight.await_token(call);
+    }
     log_sent(shared, call, choice, last_event);
     call.record_parts(shared, choice, false);
     let reply = shared.connection_pool.send(address, request).await;
@@ -605,6 +622,7 @@
     let succeeded = !head.status.is_server_error();
     if succeeded {
         quarantine::record_pass(shared, call);
+        in_flight.record_answer();
     }
     record_result(shared, choice.worker, succeeded);
     log_answered(call, choice, &head);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,9 +17,9 @@
     cactusspur_core::{
         DurationMs, TimeMs, VecMap, WeightsVersion, WorkerId,
         gateway::{
-            AnnouncedWeights, Backend, BackendTable, CachedParts, Load, PartUpdate, PastVersion,
-            PastVersions, Quarantine, RetryBudget, RoutingTable, SoftwareKey, StreamOrigin,
-            StreamOrigins,
+            AnnouncedWeights, Backend, BackendTable, CachedParts, Load, Overload, PartUpdate,
+            PastVersion, PastVersions, Quarantine, RetryBudget, RoutingTable, SoftwareKey,
+            StreamOrigin, StreamOrigins,
         },
     },
     std::rc::Rc,
@@ -78,6 +78,8 @@
     past_versions: PastVersions,
     /// The requests and prompt parts on which servers crash.
     pub quarantine: Quarantine,
+    /// The load of services beside what they can answer in time.
+    pub overload: Overload,
     /// The number of this gateway's decode-heavy requests in progress.
     pub decode_heavy_requests: u64,
     /// Other gateways.
@@ -124,6 +126,7 @@
             stream_origins: StreamOrigins::default(),
             past_versions: PastVersions::default(),
             quarantine: Quarantine::new(gateway_rank(&settings.name, 0), now()),
+            overload: Overload::default(),
             decode_heavy_requests: 0,
             peers,
             collector: Collector::default(),
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -44,10 +44,22 @@
     pub suspects: Vec<Suspect>,
     /// The retries that are left in the budget, by service.
     pub repeats_left: Vec<(String, u64)>,
+    /// The services that get more than they can answer in time.
+    #[serde(default)]
+    pub overloaded: Vec<OverloadedService>,
     /// The backend servers.
     pub backends: Vec<BackendStatus>,
 }
 
+/// A service that gets more than it can answer in time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OverloadedService {
+    /// The service's name.
+    pub service: String,
+    /// The time until room is expected for callers that are refused now.
+    pub wait_ms: DurationMs,
+}
+
 /// The state of a KV cache store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeptStoreStatus {
@@ -125,6 +137,7 @@
             cached_parts: state.cached_parts.len(),
             suspects: state.quarantine.suspects(now),
             repeats_left: state.retry_budget.remaining().collect(),
+            overloaded: overloaded(&state, now),
             backends: state
                 .backends
                 .iter()
@@ -134,6 +147,15 @@
     }
 }
 
+fn overloaded(state: &GatewayState, now: TimeMs) -> Vec<OverloadedService> {
+    let services = state.overload.overloaded(now);
+    let rows = services.map(|(service, wait_ms)| OverloadedService {
+        service: service.to_owned(),
+        wait_ms,
+    });
+    rows.collect()
+}
+
 fn kept_stores(state: &GatewayState) -> Vec<KeptStoreStatus> {
     let routing = state.routing.iter();
     let stores = routing.flat_map(|routing| routing.kept_stores());
