--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -54,6 +54,7 @@
     /// The software version that the stream is bound to, once it is known to have begun.
     software: Cell<Option<SoftwareKey>>,
     lost_servers: Cell<usize>,
+    is_judged: Cell<bool>,
     goes_last: Cell<bool>,
     method: Method,
     path: Uri,
@@ -165,6 +166,7 @@
             },
             software: Cell::new(None),
             lost_servers: Cell::new(0),
+            is_judged: Cell::new(false),
             goes_last: Cell::new(false),
             prefix_hashes,
             random,
@@ -213,6 +215,12 @@
         self.lost_servers.get() >= MAX_LOST_SERVERS
     }
 
+    /// Whether the decision under overload is due, which is made once.
+    #[must_use]
+    pub fn begin_judging(&self) -> bool {
+        !self.is_judged.replace(true)
+    }
+
     /// Gives the request the lowest priority at its server, since it would be late in any case.
     pub fn go_last(&self) {
         self.goes_last.set(true);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,7 +15,7 @@
     bytes::Bytes,
     cactusspur_core::{
         Cause, DurationMs, Refusal, Verdict, WorkerId,
-        gateway::{Admission, CallKind, Choice, Decision, check_in_time, retry_after},
+        gateway::{Admission, CallKind, Choice, retry_after},
     },
     http::{Request, Response, StatusCode, header, response::Parts},
     http_body_util::{BodyExt, LengthLimitError, Limited},
@@ -210,7 +210,6 @@
     let mut may_have_run = false;
     let mut last_response = None;
     let mut backlog_ms = None;
-    let mut is_admitted = false;
     let mut why = "no backend server accepts new requests".to_owned();
     let is_quarantined = loop {
         let admission = quarantine::admit(shared, call);
@@ -251,21 +250,9 @@
             }
             break false;
         };
-        if !is_admitted {
-            match overload::decide(shared, call, &choice) {
-                Decision::Send => {}
-                Decision::SendLast => call.go_last(),
-                Decision::Refuse { reason, wait_ms } => {
-                    backlog_ms = Some(wait_ms);
-                    why = reason.to_string();
-                    break false;
-                }
-            }
-            is_admitted = true;
-        }
-        if let Err(too_late) = check_in_time(&choice, call.remaining_ms()) {
-            backlog_ms = Some(choice.queue_ms);
-            why = too_late.to_string();
+        if let Err(rejection) = overload::admit(shared, call, &choice) {
+            backlog_ms = Some(rejection.wait_ms);
+            why = rejection.why;
             break false;
         }
         if admission == Admission::Apart && !quarantine::claim(shared, call, &choice).await {
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -3,8 +3,10 @@
 use {
     super::{Shared, call::Call, clock::now},
     cactusspur_core::{
-        TimeMs, Tokens,
-        gateway::{Applicant, AwaitedId, Backend, Choice, Decision, Outlook, OverloadChange},
+        DurationMs, TimeMs, Tokens,
+        gateway::{
+            Applicant, AwaitedId, Backend, Choice, Decision, Outlook, OverloadChange, check_in_time,
+        },
     },
     std::rc::Rc,
 };
@@ -12,8 +14,42 @@
 /// How many thousandths the exported ratio is divided by.
 const ONE_PERMILLE: f64 = 1_000.0;
 
+/// Why a request isn't sent, and the time until room is expected for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rejection {
+    /// The reason, for the log.
+    pub why: String,
+    /// The expected wait.
+    pub wait_ms: DurationMs,
+}
+
+/// Checks whether a request may be sent to the chosen server. The decision on it is made before it is
+/// first sent; after that, only its deadline counts.
+///
+/// # Errors
+///
+/// When it is refused under overload or can't be answered before its deadline.
+pub fn admit(shared: &Shared, call: &Call, choice: &Choice) -> Result<(), Rejection> {
+    if call.begin_judging() {
+        match decide(shared, call, choice) {
+            Decision::Send => {}
+            Decision::SendLast => call.go_last(),
+            Decision::Refuse { reason, wait_ms } => {
+                return Err(Rejection {
+                    why: reason.to_string(),
+                    wait_ms,
+                });
+            }
+        }
+    }
+    check_in_time(choice, call.remaining_ms()).map_err(|too_late| Rejection {
+        why: too_late.to_string(),
+        wait_ms: choice.queue_ms,
+    })
+}
+
 /// Decides whether a request is sent to the chosen server, sent last or refused.
-pub fn decide(shared: &Shared, call: &Call, choice: &Choice) -> Decision {
+fn decide(shared: &Shared, call: &Call, choice: &Choice) -> Decision {
     let now = now();
     let mut state = shared.state.borrow_mut();
     let backend = state.backends.get(choice.worker);
