--- a/core/src/gateway/overload.rs
+++ b/core/src/gateway/overload.rs
@@ -339,7 +339,14 @@
         let target_ms = applicant.target_ms;
         let ratio = route.calibration.ratio(target_ms, now);
         let own_ms = outlook.first_token_ms.saturating_sub(outlook.queue_ms).0;
-        let judged_ms = outlook.queue_ms + DurationMs(own_ms.min(route.mean_own_work_ms(now)));
+        // While others are refused, size doesn't count: small requests would take all the room.
+        let mean_ms = route.mean_own_work_ms(now);
+        let judged_own_ms = if self.is_overloaded(now) {
+            mean_ms.min(target_ms.0 / YIELD_DIVISOR)
+        } else {
+            own_ms.min(mean_ms)
+        };
+        let judged_ms = outlook.queue_ms + DurationMs(judged_own_ms);
         let predicted_ms = ratio.correct(judged_ms, target_ms);
         let used_ms = route.used_ms(applicant);
         let due_ms = target_ms.saturating_sub(applicant.waited_ms + used_ms);
--- a/core/tests/gateway/overload.rs
+++ b/core/tests/gateway/overload.rs
@@ -113,6 +113,24 @@
     assert!(draft * 4 >= all, "draft {draft}, all {all}");
 }
 
+/// Twice what servers can do, of a route with a tenth of large requests: these must be served at least half
+/// as often as all of the route.
+#[test]
+fn large_requests_do_not_starve() {
+    let large = Kind {
+        work_ms: 240,
+        ..SCREEN
+    };
+    let load = [
+        traffic(SCREEN, "small", 90, 0, 20),
+        traffic(large, "small", 10, 0, 20),
+    ];
+    let outcome = Model::new(4).run(&load);
+    let all = outcome.served_percent(4_000..20_000, |_| true);
+    let largest = outcome.served_percent(4_000..20_000, |request| request.kind.work_ms == 240);
+    assert!(largest * 2 >= all, "largest {largest}, all {all}");
+}
+
 /// Predictions that are wrong by a factor, since servers are slower or faster than known: requests that
 /// can be in time are sent, others aren't.
 #[test_case(300; "servers are three times as slow as predicted")]
--- a/core/tests/gateway/queue_model.rs
+++ b/core/tests/gateway/queue_model.rs
@@ -23,7 +23,7 @@
     pub work_ms: u64,
 }
 
-/// Requests of one kind at a steady rate.
+/// Requests of one kind at a mean rate, at most 1,000 a second.
 #[derive(Clone, Copy, Debug)]
 pub struct Traffic {
     pub kind: Kind,
@@ -100,14 +100,10 @@
                 let half = self.servers.len() / 2;
                 self.servers.truncate(half);
             }
-            for traffic in load {
+            for (number, traffic) in load.iter().enumerate() {
+                let draw = rendezvous_score(at_ms, WorkerId(number as u64)) % 1_000;
                 let is_on = (traffic.from_ms..traffic.to_ms).contains(&at_ms);
-                let due = |ms: u64| ms * traffic.per_second / 1_000;
-                for _ in 0..if is_on {
-                    due(at_ms + 1) - due(at_ms)
-                } else {
-                    0
-                } {
+                if is_on && draw < traffic.per_second {
                     self.requests.push(Request {
                         kind: traffic.kind,
                         customer: traffic.customer,
