--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -10,6 +10,7 @@
 pub mod cached;
 pub mod choice;
 pub mod explanation;
+pub mod overload;
 pub mod pace;
 pub mod pause;
 mod prediction;
@@ -32,6 +33,10 @@
         AnnouncedWeights, Choice, ChoiceContext, Fetch, ModelCall, choose_model, choose_plain,
     },
     explanation::{Exclusion, ServerStanding, Standing, explain_model, explain_plain},
+    overload::{
+        Applicant, AwaitedId, Decision, Outlook, Overload, OverloadChange, RatioPermille,
+        RefusalReason,
+    },
     pace::Pace,
     pause::Pause,
     quarantine::{
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,6 +6,7 @@
         call::{AdmissionError, AttemptFailure, Call, InFlightRequest, ReceivedRequest, admit},
         clock::now,
         link::{ExchangeFailure, UnreadResponse},
+        overload,
         protocol::ResponseHead,
         quarantine, relay,
         response::{self, ResponseBody},
@@ -14,7 +15,7 @@
     bytes::Bytes,
     cactusspur_core::{
         Cause, DurationMs, Refusal, Verdict, WorkerId,
-        gateway::{Admission, CallKind, Choice, check_in_time, retry_after},
+        gateway::{Admission, CallKind, Choice, retry_after},
     },
     http::{Request, Response, StatusCode, header, response::Parts},
     http_body_util::{BodyExt, LengthLimitError, Limited},
@@ -253,9 +254,9 @@
             }
             break false;
         };
-        if let Err(too_late) = check_in_time(&choice, call.remaining_ms()) {
-            backlog_ms = Some(choice.queue_ms);
-            why = too_late.to_string();
+        if let Err(rejection) = overload::admit(shared, call, &choice) {
+            backlog_ms = Some(rejection.wait_ms);
+            why = rejection.why;
             break false;
         }
         if admission == Admission::Apart && !quarantine::claim(shared, call, &choice).await {
@@ -467,6 +468,9 @@
     let in_flight = InFlightRequest::start(shared, call, choice);
     let usage = call.usage();
     usage.inspect(|usage| usage.record_attempt());
+    if last_event.is_none() {
+        in_flight.await_token(call);
+    }
     log_sent(shared, call, choice, last_event);
     call.record_parts(shared, choice, false);
     let reply = shared.connection_pool.send(address, request).await;
@@ -615,6 +619,7 @@
     let succeeded = !head.status.is_server_error();
     if succeeded {
         quarantine::record_pass(shared, call);
+        in_flight.record_answer();
     }
     record_result(shared, choice.worker, succeeded);
     log_answered(call, choice, &head);
