End overload by predictions, and send those who come back without overload

Cause: a refusal prolonged overload, so that a large customer could have stayed restrained after its burst; and a caller who came back late went last even when the service was not overloaded. Change: only predictions near the target prolong overload, for 3 s; time that was used before counts only under overload.

--- a/core/src/gateway/overload.rs
+++ b/core/src/gateway/overload.rs
@@ -19,8 +19,8 @@
     shares::{AskedAndSent, CustomerShares, FLOOR_DIVISOR, TIME_CONSTANT_MS},
 };
 
-/// How long a service counts as overloaded after the last request that was not simply sent.
-const OVERLOAD_HOLD_MS: DurationMs = DurationMs(1_000);
+/// How long a service counts as overloaded after the last prediction near a target.
+const OVERLOAD_HOLD_MS: DurationMs = DurationMs(3_000);
 /// While a service is overloaded, requests are sent up to this part of their target, in percent, since
 /// predictions are off by about the rest.
 const IN_TIME_PERCENT: u64 = 75;
@@ -349,16 +349,26 @@
         let judged_ms = outlook.queue_ms + DurationMs(judged_own_ms);
         let predicted_ms = ratio.correct(judged_ms, target_ms);
         let used_ms = route.used_ms(applicant);
-        let due_ms = target_ms.saturating_sub(applicant.waited_ms + used_ms);
-        if predicted_ms > due_ms {
+        let first_due_ms = target_ms.saturating_sub(applicant.waited_ms);
+        let percent = if self.is_overloaded(now) {
+            IN_TIME_PERCENT
+        } else {
+            100
+        };
+        if predicted_ms.0 > first_due_ms.0 * percent / 100 {
             self.late_at_ms = Some(now);
         }
+        // Without overload, a request that has missed its target already delays nobody much.
+        let due_ms = if self.is_overloaded(now) {
+            first_due_ms.saturating_sub(used_ms)
+        } else {
+            first_due_ms
+        };
         let is_return = used_ms > DurationMs(0);
         let allowance = self.allowance(applicant, due_ms, is_return, now);
         if predicted_ms <= allowance.limit_ms {
             return Decision::Send;
         }
-        self.late_at_ms = Some(now);
         let last_ms = ratio
             .max(RatioPermille::default())
             .correct(outlook.first_token_ms, target_ms);
--- a/core/tests/gateway/overload.rs
+++ b/core/tests/gateway/overload.rs
@@ -206,6 +206,7 @@
 #[test_case(200, true, 15_000, false, Some(Decision::Send); "in time")]
 #[test_case(3_000, false, 15_000, false, Some(Decision::Send); "late with room to spare")]
 #[test_case(3_000, true, 15_000, true, Some(Decision::Send); "a stream that is taken up")]
+#[test_case(200, true, 14_000, false, Some(Decision::Send); "back without overload")]
 #[test_case(3_000, true, 14_000, false, Some(Decision::SendLast); "back after a refusal")]
 #[test_case(3_000, true, 15_000, false, None; "late while others wait")]
 #[test_case(20_000, true, 14_000, false, None; "back, but beyond the deadline")]
