--- a/core/tests/gateway/usage.rs
+++ b/core/tests/gateway/usage.rs
@@ -402,6 +402,7 @@
 #[test_case(88, 4_000; "88, long before a burst")]
 #[test_case(88, 7_900; "88, right before a burst")]
 #[test_case(88, 8_500; "88, in a burst")]
+#[test_case(300, 7_900; "300, right before a burst")]
 fn two_halves_that_lose_each_other_stay_within_the_cap(gateways: usize, from_ms: u64) {
     let plan = Plan {
         cut_ms: Some((from_ms, 15_000)),
