Learn how fast each server is, and place requests by it

Cause: one nominal engine stood for all servers, samples from 140% of it on were discarded, plain services had no model, and the figure that servers report of the work time at the moment was dropped. Change: ServerSpeed holds a server's pace, its moment (reported, or two slow answers in a row) and, at plain services, the slowdown by utilisation; ServiceModel holds the median, the time between events by running requests and the time of a stream. Choices predict first tokens and answers from them, name the requests that a server takes well, and avoid missed deadlines. Plain services draw servers by free room and speed unless all are equally fast, then they choose as before. Overdue requests lengthen the queue of a silent server. Status and metrics show the speed. Other existing tests changed only for the new field of Load and for the pace that is read through a method.

--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -9,13 +9,15 @@
 pub mod budget;
 pub mod cached;
 pub mod choice;
-pub mod pace;
 pub mod pause;
+mod plain_choice;
 mod prediction;
 pub mod quarantine;
 pub mod rollout;
 pub mod routing;
 pub mod send_limit;
+pub mod server_model;
+pub mod service_model;
 pub mod stream_origin;
 
 pub use {
@@ -26,11 +28,9 @@
         CacheScope, CachedParts, PartState, PartUpdate, PromptPart, hash_prefixes,
         rendezvous_score, shared_keys,
     },
-    choice::{
-        AnnouncedWeights, Choice, ChoiceContext, Fetch, ModelCall, choose_model, choose_plain,
-    },
-    pace::Pace,
+    choice::{AnnouncedWeights, Choice, ChoiceContext, Fetch, ModelCall, choose_model},
     pause::Pause,
+    plain_choice::choose_plain,
     quarantine::{
         AccusedRequest, Admission, CrashReport, Culprit, PartId, PassReport, Quarantine,
         QuarantineChange, QuarantineNotice, QuarantineReport, RequestContent, RequestDigest,
@@ -41,6 +41,8 @@
         CallKind, CallerLimits, CustomerSpec, KeptStore, Route, RoutingTable, ServiceSpec, Split,
     },
     send_limit::{LimitShare, RequestRate, RequestRateError, SendLimit},
+    server_model::{Pace, ServerSpeed},
+    service_model::{PlainForecast, ServiceModel, StreamSample, StreamTargets, comfortable},
     stream_origin::{
         PastVersion, PastVersions, SoftwareKey, StreamKey, StreamOrigin, StreamOrigins,
     },
--- a/core/src/gateway/backend.rs
+++ b/core/src/gateway/backend.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
-        pace::Pace,
         pause::Pause,
         send_limit::{LimitShare, RequestRate, SendLimit},
+        server_model::{Pace, ServerSpeed, Utilization},
+        service_model::{ServiceModel, StreamSample},
         stream_origin::SoftwareKey,
     },
     crate::{
@@ -92,6 +93,9 @@
     /// The rate of requests that the server takes from all entry VMs together; `None` if it names
     /// none.
     pub limit: Option<RequestRate>,
+    /// How long work takes at the server at this moment, in percent of the usual time; `None` if it
+    /// doesn't say.
+    pub work_percent: Option<u64>,
 }
 
 /// The state of one backend server.
@@ -101,8 +105,8 @@
     pub spec: BackendSpec,
     /// This entry VM's requests in progress at the server.
     pub in_flight: u64,
-    /// The prefill time of an engine relative to the nominal engine.
-    pub pace: Pace,
+    /// How long work takes at the server.
+    pub speed: ServerSpeed,
     /// The prefill time of this entry VM's requests that wait for their first token.
     local_prefill_ms: DurationMs,
     /// The time until which new requests should be avoided, so that the server can finish its
@@ -131,7 +135,7 @@
         Self {
             spec,
             in_flight: 0,
-            pace: Pace::default(),
+            speed: ServerSpeed::default(),
             local_prefill_ms: DurationMs(0),
             draining_until_ms: TimeMs(0),
             loading_until_ms: TimeMs(0),
@@ -282,6 +286,7 @@
         self.load = load;
         self.load_at_ms = now;
         self.sent_since_load = 0;
+        self.speed.record_report(load.work_percent, now);
         if load.limit.is_none() {
             self.send_limit = None;
         }
@@ -372,6 +377,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct BackendTable {
     rows: VecMap<WorkerId, Backend>,
+    models: VecMap<String, ServiceModel>,
+    unknown: ServiceModel,
 }
 
 impl BackendTable {
@@ -395,6 +402,7 @@
         if known.started_at_ms != backend.spec.started_at_ms {
             backend.is_leaving = false;
             backend.pause = Pause::default();
+            backend.speed = ServerSpeed::default();
             return true;
         }
         // The description lags behind the weights reported in answers to orders.
@@ -432,6 +440,54 @@
         self.rows.iter().map(|(id, backend)| (*id, backend))
     }
 
+    /// What is known of a service.
+    #[must_use]
+    pub fn model(&self, service: &str) -> &ServiceModel {
+        let known = self.models.iter().find(|row| row.0 == service);
+        known.map_or(&self.unknown, |row| row.1)
+    }
+
+    /// Learns from a sample of a server's pace, which this or another entry VM took.
+    pub fn learn_pace(&mut self, worker: WorkerId, sample: Pace, now: TimeMs) {
+        let Some(backend) = self.rows.get_mut(&worker) else {
+            return;
+        };
+        let load = Utilization {
+            in_progress: backend.occupancy(now),
+            slots: backend.spec.slots,
+            is_plain: backend.spec.weights.is_empty(),
+        };
+        let service = backend.spec.service.clone();
+        let model = self
+            .models
+            .get_or_insert_with(service, ServiceModel::default);
+        backend.speed.learn(sample, load, model.median(), now);
+        if model.is_median_due(now) {
+            let service = &backend.spec.service.clone();
+            let rows = self.rows.iter().map(|row| row.1);
+            let paces = rows
+                .filter(|row| row.spec.service == *service)
+                .filter_map(|row| row.speed.pace());
+            model.set_median(paces.collect(), now);
+        }
+    }
+
+    /// Learns from a stream of this entry VM that has ended. Returns a sample of the server's pace if the
+    /// stream is one.
+    pub fn learn_stream(
+        &mut self,
+        worker: WorkerId,
+        sample: StreamSample,
+        now: TimeMs,
+    ) -> Option<Pace> {
+        let backend = self.rows.get(&worker)?;
+        let service = backend.spec.service.clone();
+        let model = self
+            .models
+            .get_or_insert_with(service, ServiceModel::default);
+        model.learn_stream(backend, sample, now)
+    }
+
     /// The time until some server of a service may be sent a request, if its servers ask for fewer;
     /// `None` if the service has no servers that accept requests.
     #[must_use]
--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -4,9 +4,9 @@
     super::{
         backend::{Backend, BackendTable, MAX_FAILURE_PERMILLE},
         cached::{CachedParts, PromptPart, rendezvous_score},
-        pace::CHUNK_TOKENS,
         prediction::{Candidate, decode_slots, is_permitted, predict, save_target},
         routing::{KeptStore, ServiceSpec},
+        server_model::CHUNK_TOKENS,
         stream_origin::SoftwareKey,
     },
     crate::{
@@ -17,12 +17,10 @@
 };
 
 /// Cost of a server in another failure domain, since traffic between domains is billed.
-const OTHER_DOMAIN_COST_MS: u64 = 12;
+pub(super) const OTHER_DOMAIN_COST_MS: u64 = 12;
 /// Cost of a backend server whose requests always fail. Exceeds the wait in any queue that would
 /// still be preferable to a failing server.
 const FAILING_COST_MS: u64 = 3_000;
-/// Cost of a request that waits for a slot of a plain service: about the time of one request.
-const SLOT_WAIT_COST_MS: u64 = 30;
 /// A request with fewer prompt tokens per answer token than this is decode-heavy. Decoding one
 /// token takes an engine about as long as prefilling this many.
 const PREFILL_TOKENS_PER_DECODED: u64 = 48;
@@ -62,7 +60,8 @@
     pub nominal_prefill_ms: DurationMs,
     /// The prefill time on this engine, without a queue.
     pub prefill_ms: DurationMs,
-    /// The prefill time of earlier requests in the server's queue.
+    /// The wait before the request's own work: for a slot, and for the prefill of earlier requests in
+    /// the server's queue.
     pub queue_ms: DurationMs,
     /// The requests that wait at the server by its own report; 0 if it made none lately.
     pub reported_waiting: u64,
@@ -76,11 +75,16 @@
     pub steps_from_home: u64,
     /// The weights version that the request runs on; `None` for a plain service.
     pub weights: Option<WeightsVersion>,
-    /// The predicted time to the first token.
+    /// The predicted time to the first token, or to the answer of a plain service; 0 for one of which
+    /// nothing is known.
     pub first_token_ms: DurationMs,
     /// The time after which the request may no longer start, since the grace period of its
     /// weights ends; `None` on the newest weights.
     pub limit_ms: Option<DurationMs>,
+    /// The estimated number of requests at the server, without this one.
+    pub occupancy: u64,
+    /// The requests in progress that the server takes well.
+    pub comfortable: u64,
 }
 
 /// The inputs of a choice besides the request.
@@ -101,6 +105,10 @@
     /// The maximum of this entry VM's requests in progress at one server, each of which takes a
     /// connection.
     pub max_in_flight: u64,
+    /// The time that remains to answer the request.
+    pub remaining_ms: DurationMs,
+    /// The time within which the answer of a plain service is due.
+    pub target_ms: DurationMs,
     /// The current time.
     pub now: TimeMs,
 }
@@ -143,39 +151,6 @@
     pub announced: &'a [AnnouncedWeights],
 }
 
-/// Chooses the server for a request to a plain service; `None` if no server is eligible. `random`
-/// breaks ties.
-#[must_use]
-pub fn choose_plain(context: &ChoiceContext<'_>, service: &str, random: u64) -> Option<Choice> {
-    let eligible = context.eligible(service);
-    let best = eligible.min_by_key(|(worker, backend)| {
-        let occupancy = backend.occupancy(context.now);
-        let slots = backend.spec.slots.max(1);
-        let queue_cost = (occupancy + 1).saturating_sub(slots) * SLOT_WAIT_COST_MS * 2 / slots;
-        // Balances requests among servers that have free slots.
-        let utilization_cost = occupancy * SLOT_WAIT_COST_MS / slots;
-        let cost = queue_cost + utilization_cost + context.server_cost(backend);
-        (cost, rendezvous_score(random, *worker))
-    })?;
-    Some(Choice {
-        worker: best.0,
-        fetch: None,
-        save_to: None,
-        is_decode_heavy: false,
-        prefill_tokens: Tokens(0),
-        nominal_prefill_ms: DurationMs(0),
-        prefill_ms: DurationMs(0),
-        queue_ms: DurationMs(0),
-        reported_waiting: 0,
-        shared_prefill_tokens: Tokens(0),
-        recomputed_tokens: Tokens(0),
-        steps_from_home: 0,
-        weights: None,
-        first_token_ms: DurationMs(0),
-        limit_ms: None,
-    })
-}
-
 /// Chooses the engine for a request to a model; `None` if no engine is eligible.
 #[must_use]
 pub fn choose_model(
@@ -307,7 +282,10 @@
 
     /// The ready servers of a service that have not been tried, have a connection left and may be sent a
     /// request now. Servers that were unreachable recently or load weights are included only when there are no others.
-    fn eligible(&'a self, service: &'a str) -> impl Iterator<Item = (WorkerId, &'a Backend)> {
+    pub(super) fn eligible(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (WorkerId, &'a Backend)> {
         let max_in_flight = self.max_in_flight;
         let now = self.now;
         let software = self.software;
--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -5,8 +5,9 @@
         backend::Backend,
         cached::{CacheScope, PromptPart, rendezvous_score, shared_keys},
         choice::{AnnouncedWeights, Choice, ChoiceContext, Fetch, ModelCall},
-        pace::nominal_prefill_ms,
         routing::{KeptStore, ServiceSpec},
+        server_model::nominal_prefill_ms,
+        service_model::StreamTargets,
     },
     crate::{
         id::{WeightsVersion, WorkerId},
@@ -62,6 +63,8 @@
 const MAX_STEPS: u64 = 4;
 /// Cost of prefilling a long prompt on an engine that serves decode-heavy requests.
 const DECODE_ENGINE_COST_MS: u64 = 90;
+/// Cost of a missed deadline. Exceeds all other costs together.
+const MISSED_DEADLINE_COST_MS: u64 = 1_000_000;
 /// Percentage of an engine's slots that decode-heavy requests fill before another engine is used.
 const DECODE_SLOTS_PERCENT: u64 = 45;
 /// Cost of each decode-heavy request above that share of the slots.
@@ -157,12 +160,25 @@
     };
     let cached = Tokens(tokens(&call.parts[..fetched]));
     let nominal = nominal_prefill_ms(Tokens(unshared + shared_prefill), cached);
-    let prefill_ms = backend.pace.scale(nominal).0;
-    let queued_ms = backend.queue_ms(context.now).0;
+    let model = context.backends.model(&service.name);
+    let pace = backend.speed.pace_now(model.median(), context.now);
+    let prefill_ms = pace.scale(nominal).0;
+    let overdue_ms = backend.speed.overdue_ms(context.now);
+    let slot_wait_ms = model.slot_wait_ms(backend, context.now);
+    let queued_ms = backend.queue_ms(context.now).max(overdue_ms).0 + slot_wait_ms.0;
     let busy_ms = queued_ms + prefill_ms;
     let first_token_ms = busy_ms + fetch_ms;
     let streams = backend.occupancy(context.now);
-    let placement_cost = placement_cost(context, call, engine, steps_from_home, held == shared);
+    let targets = StreamTargets {
+        first_token_ms: call.target_ms,
+        event_gap_ms: call.event_gap_ms,
+    };
+    let comfortable =
+        model.comfortable_streams(backend, DurationMs(prefill_ms), targets, context.now);
+    let relative_percent = model.relative_percent(backend, context.now);
+    let placement_cost = placement_cost(context, call, engine, steps_from_home, held == shared)
+        + speed_cost(call, backend, streams, comfortable, relative_percent)
+        + deadline_cost(context, DurationMs(first_token_ms));
     // The delay that this prefill causes to streams already running on the engine. The delay to
     // the request's own stream is added below.
     let stall_cost = |prefill_ms| stall_cost(prefill_ms, call.event_gap_ms);
@@ -198,10 +214,44 @@
                     .saturating_sub(age)
             },
         ),
+        occupancy: streams,
+        comfortable,
     };
     (cost, choice)
 }
 
+/// The cost of an engine's speed apart from the prefill: for the time that decoding takes, and for each
+/// request above what the engine takes well.
+fn speed_cost(
+    call: &ModelCall<'_>,
+    engine: &Backend,
+    streams: u64,
+    comfortable: u64,
+    relative_percent: u64,
+) -> u64 {
+    let excess = (streams + 1).saturating_sub(comfortable);
+    let crowd_cost = if comfortable < engine.spec.slots {
+        excess * DECODE_OVERLOAD_COST_MS
+    } else {
+        0
+    };
+    let decode_cost = if call.is_decode_heavy() {
+        DECODE_SPREAD_COST_MS * relative_percent / 100
+    } else {
+        0
+    };
+    crowd_cost + decode_cost
+}
+
+/// The cost of a first token that comes after the deadline.
+fn deadline_cost(context: &ChoiceContext<'_>, first_token_ms: DurationMs) -> u64 {
+    if first_token_ms > context.remaining_ms {
+        MISSED_DEADLINE_COST_MS
+    } else {
+        0
+    }
+}
+
 /// The cost of an engine apart from the time that it takes: for its distance from home, for the requests
 /// beside which this one would run, and for draining.
 fn placement_cost(
--- a/core/src/gateway/routing.rs
+++ b/core/src/gateway/routing.rs
@@ -1,6 +1,7 @@
 //! Maps requests to routes, services and customers, with the limits that apply.
 
 use {
+    super::service_model::StreamTargets,
     crate::{id::WorkerId, unit::DurationMs},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -224,6 +225,24 @@
         found.ok().map(|index| &self.services[index])
     }
 
+    /// The strictest targets of the routes that a service serves, to the first token or the answer and for
+    /// the pause between two events; `None` if it serves none.
+    #[must_use]
+    pub fn targets(&self, service: &str) -> Option<StreamTargets> {
+        let routes = self.routes.iter().filter(|route| {
+            let mut splits = route.splits.iter();
+            splits.any(|split| split.service == service)
+        });
+        let targets = routes.map(|route| StreamTargets {
+            first_token_ms: route.target_ms,
+            event_gap_ms: route.event_gap_ms.unwrap_or(route.target_ms),
+        });
+        targets.reduce(|a, b| StreamTargets {
+            first_token_ms: a.first_token_ms.min(b.first_token_ms),
+            event_gap_ms: a.event_gap_ms.min(b.event_gap_ms),
+        })
+    }
+
     /// The longest time that a route permits a stream to take; zero without streams.
     #[must_use]
     pub fn longest_stream_ms(&self) -> DurationMs {
--- a/core/tests/gateway/fixture.rs
+++ b/core/tests/gateway/fixture.rs
@@ -112,6 +112,7 @@
     pub event_gap_ms: Option<DurationMs>,
     pub decode_heavy_requests: u64,
     pub random: u64,
+    pub remaining_ms: Option<DurationMs>,
 }
 
 impl World {
@@ -145,6 +146,7 @@
             running,
             waiting: 0,
             limit: None,
+            work_percent: None,
         };
         backend.record_load(load, now);
     }
@@ -191,6 +193,8 @@
             only: None,
             software: None,
             max_in_flight: self.max_in_flight.unwrap_or(u64::MAX),
+            remaining_ms: self.remaining_ms.unwrap_or(DurationMs(u64::MAX)),
+            target_ms: DurationMs(150),
             now,
         }
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -12,10 +12,10 @@
     cactusspur_core::{
         DurationMs, TimeMs, Verdict, WorkerId,
         gateway::{
-            CacheScope, CallKind, Choice, ChoiceContext, CustomerSpec, Fetch, KeptStore, ModelCall,
-            Pace, PartState, PartUpdate, RequestContent, RequestDigest, RequestIdentity, Route,
-            RoutingTable, SoftwareKey, StreamKey, choose_model, choose_plain, hash_prefixes,
-            shared_keys, shared_parts,
+            BackendTable, CacheScope, CallKind, Choice, ChoiceContext, CustomerSpec, Fetch,
+            KeptStore, ModelCall, Pace, PartState, PartUpdate, RequestContent, RequestDigest,
+            RequestIdentity, Route, RoutingTable, SoftwareKey, StreamKey, StreamSample,
+            choose_model, choose_plain, hash_prefixes, shared_keys, shared_parts,
         },
     },
     http::{HeaderMap, Method, Request, Uri, uri::PathAndQuery},
@@ -275,6 +275,8 @@
             tried,
             only,
             software: self.software.get(),
+            remaining_ms: self.remaining_ms(),
+            target_ms: self.route.target_ms,
             now: now(),
         };
         match (&self.head.prompt, service) {
@@ -430,6 +432,9 @@
         state.decode_heavy_requests += u64::from(choice.is_decode_heavy);
         if let Some(backend) = state.backends.get_mut(choice.worker) {
             backend.record_sent(choice.prefill_ms, sent_at_ms);
+            if choice.first_token_ms > DurationMs(0) {
+                backend.speed.record_sent(choice.first_token_ms, sent_at_ms);
+            }
         }
         drop(state);
         if choice.prefill_ms > DurationMs(0) {
@@ -478,19 +483,56 @@
         let took_ms = now()
             .since(self.sent_to.sent_at_ms)
             .saturating_sub(fetch_ms);
-        let Some(sample) = Pace::sample(self.choice.nominal_prefill_ms, took_ms) else {
-            return;
+        if let Some(sample) = Pace::sample(self.choice.nominal_prefill_ms, took_ms) {
+            self.learn_measured(sample);
+        }
+    }
+
+    /// Records the arrival of a plain service's whole answer, and a sample of the server's pace unless
+    /// the request had to wait for a slot.
+    pub fn record_answer(&self) {
+        self.record_prefill_ended();
+        if self.choice.queue_ms == DurationMs(0) && self.choice.weights.is_none() {
+            self.learn_measured(Pace::work_sample(now().since(self.sent_to.sent_at_ms)));
+        }
+    }
+
+    /// Records the end of a stream that this server alone has sent, as a sample of how fast it decodes.
+    pub fn record_stream(&self, event_count: u64, first_event_at_ms: TimeMs) {
+        let now = now();
+        let sample = StreamSample {
+            events_ms: now.since(first_event_at_ms),
+            event_count,
+            total_ms: now.since(self.sent_to.sent_at_ms),
         };
-        if let Some(backend) = self
-            .shared
-            .state
-            .borrow_mut()
-            .backends
-            .get_mut(self.choice.worker)
-        {
-            backend.pace.learn(sample);
+        let mut state = self.shared.state.borrow_mut();
+        let learnt = state.backends.learn_stream(self.choice.worker, sample, now);
+        drop(state);
+        // Long prompts measure an engine better, and tell it anyway.
+        if let Some(pace) = learnt.filter(|_| self.choice.is_decode_heavy) {
+            self.learn_pace(pace);
         }
-        self.shared.peers.queue_pace(self.choice.worker, sample);
+    }
+
+    /// Learns from a measurement, which may have been taken at an unusual moment of the server.
+    fn learn_measured(&self, measured: Pace) {
+        let state = self.shared.state.borrow();
+        let backend = state.backends.get(self.choice.worker);
+        let sample = backend.map(|backend| backend.speed.without_moment(measured, now()));
+        drop(state);
+        if let Some(sample) = sample {
+            self.learn_pace(sample);
+        }
+    }
+
+    /// Learns from a sample of the server's pace, and queues it for other gateways.
+    fn learn_pace(&self, sample: Pace) {
+        let worker = self.choice.worker;
+        let mut state = self.shared.state.borrow_mut();
+        state.backends.learn_pace(worker, sample, now());
+        record_speed(&state.backends, worker);
+        drop(state);
+        self.shared.peers.queue_pace(worker, sample);
     }
 
     /// Records that the prompt has been prefilled or the request has ended. Repeated calls have no
@@ -502,10 +544,25 @@
         let mut state = self.shared.state.borrow_mut();
         if let Some(backend) = state.backends.get_mut(self.choice.worker) {
             backend.record_prefill_ended(self.choice.prefill_ms);
+            backend
+                .speed
+                .record_ended(self.choice.first_token_ms, self.sent_to.sent_at_ms);
         }
     }
 }
 
+/// Exports how fast a server is.
+fn record_speed(backends: &BackendTable, worker: WorkerId) {
+    let Some(backend) = backends.get(worker) else {
+        return;
+    };
+    let model = backends.model(&backend.spec.service);
+    let percent = model.relative_percent(backend, now());
+    #[expect(clippy::cast_precision_loss, reason = "the percentage is small")]
+    metrics::gauge!("cactusspur_server_work_percent", "server" => backend.spec.instance.clone())
+        .set(percent as f64);
+}
+
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
         self.record_prefill_ended();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -606,6 +606,9 @@
     if succeeded {
         quarantine::record_pass(shared, call);
     }
+    if head.status.is_success() {
+        in_flight.record_answer();
+    }
     record_result(shared, choice.worker, succeeded);
     log_answered(call, choice, &head);
     let response = response::with_body(head.status, response_headers(shared, &head), body);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -56,6 +56,7 @@
         sender,
         last_event: call.head.last_event,
         event_count: 0,
+        first_event_at_ms: call.arrived_at_ms,
         last_event_at_ms: call.arrived_at_ms,
         longest_gap_ms: DurationMs(0),
         tried: vec![choice.worker],
@@ -141,6 +142,8 @@
     last_event: Option<u64>,
     /// Events received from all sources, including repeated ones.
     event_count: u64,
+    /// When the first event arrived.
+    first_event_at_ms: TimeMs,
     /// When the last event arrived.
     last_event_at_ms: TimeMs,
     /// The longest time between two events.
@@ -160,6 +163,11 @@
             match end {
                 SourceEnd::Complete => {
                     forward::record_result(&self.shared, worker, true);
+                    if self.tried.len() == 1 && self.event_count > 0 {
+                        source
+                            .in_flight
+                            .record_stream(self.event_count, self.first_event_at_ms);
+                    }
                     self.log(worker, "complete");
                     self.shared
                         .connection_pool
@@ -302,6 +310,7 @@
                 let software = source.in_flight.sent_to().software;
                 versions::record_first_event(&self.shared, &self.call, software);
                 self.log(source.choice.worker, "first event");
+                self.first_event_at_ms = now();
             }
             let now = now();
             source.silent_since_ms = now;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -406,9 +406,7 @@
         self.past_versions.apply(past_versions, now);
         self.apply_stream_origins(&notice.streams, now);
         for (worker, sample) in &notice.paces {
-            if let Some(backend) = self.backends.get_mut(*worker) {
-                backend.pace.learn(*sample);
-            }
+            self.backends.learn_pace(*worker, *sample, now);
         }
         for (worker, prefill_ms) in &notice.sent_requests {
             if let Some(backend) = self.backends.get_mut(*worker) {
@@ -452,9 +450,7 @@
             }
         }
         for sample in digest.paces.iter().filter(|row| row.origin != own) {
-            if let Some(backend) = self.backends.get_mut(sample.worker) {
-                backend.pace.learn(sample.pace);
-            }
+            self.backends.learn_pace(sample.worker, sample.pace, now);
         }
         self.apply_part_updates(&digest.parts, now);
         if let Some(rollout) = &digest.rollout {
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -4,7 +4,7 @@
     super::{Shared, clock::now, notice::WeightsNotice, state::GatewayState},
     cactusspur_core::{
         DurationMs, TimeMs, WeightsVersion,
-        gateway::{Backend, Suspect},
+        gateway::{Backend, Suspect, comfortable},
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -80,10 +80,20 @@
     pub queue_ms: DurationMs,
     /// The share of recent requests that failed, in thousandths.
     pub failure_permille: u64,
+    /// How long work takes at the server now, in percent of its service's median server.
+    #[serde(default)]
+    pub work_percent: u64,
+    /// The requests in progress that the server takes well.
+    #[serde(default)]
+    pub comfortable: u64,
 }
 
 impl BackendStatus {
-    fn new(backend: &Backend, now: TimeMs) -> Self {
+    fn new(state: &GatewayState, backend: &Backend, now: TimeMs) -> Self {
+        let service = &backend.spec.service;
+        let model = state.backends.model(service);
+        let targets = state.routing.as_ref();
+        let targets = targets.and_then(|routing| routing.targets(service));
         Self {
             instance: backend.spec.instance.clone(),
             service: backend.spec.service.clone(),
@@ -95,6 +105,8 @@
             occupancy: backend.occupancy(now),
             queue_ms: backend.queue_ms(now),
             failure_permille: backend.failure_permille(now),
+            work_percent: model.relative_percent(backend, now),
+            comfortable: comfortable(model, backend, targets, now),
         }
     }
 }
@@ -128,7 +140,7 @@
             backends: state
                 .backends
                 .iter()
-                .map(|row| BackendStatus::new(row.1, now))
+                .map(|row| BackendStatus::new(&state, row.1, now))
                 .collect(),
         }
     }
--- a/src/operator/gateway.rs
+++ b/src/operator/gateway.rs
@@ -67,8 +67,16 @@
     let repeats = status.repeats_left.iter();
     lines.extend(repeats.map(|(service, left)| format!("  repeats left   {service} {left}")));
     lines.extend(iter::once(format!(
-        "  {:<16} {:<10} {:<21} {:>7} {:>9} {:>8} {:>8}  STATE",
-        "SERVER", "SERVICE", "ADDRESS", "WEIGHTS", "REQUESTS", "QUEUE MS", "FAILING"
+        "  {:<16} {:<10} {:<21} {:>7} {:>9} {:>5} {:>6} {:>8} {:>8}  STATE",
+        "SERVER",
+        "SERVICE",
+        "ADDRESS",
+        "WEIGHTS",
+        "REQUESTS",
+        "TAKES",
+        "WORK",
+        "QUEUE MS",
+        "FAILING"
     )));
     lines.extend(status.backends.iter().map(describe_backend));
     lines
@@ -94,12 +102,14 @@
         (true, true) => "in use",
     };
     format!(
-        "  {:<16} {:<10} {:<21} {:>7} {:>9} {:>8} {:>7}%  {state}",
+        "  {:<16} {:<10} {:<21} {:>7} {:>9} {:>5} {:>5}% {:>8} {:>7}%  {state}",
         backend.instance,
         backend.service,
         backend.address,
         weights.unwrap_or_default(),
         backend.occupancy,
+        backend.comfortable,
+        backend.work_percent,
         backend.queue_ms.0,
         backend.failure_permille / 10,
     )
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -334,6 +334,7 @@
                 running: 1,
                 waiting: 0,
                 limit: None,
+                work_percent: None,
             },
         )],
         ..Fleet::notice(number)
--- a/tests/gateway_state.rs
+++ b/tests/gateway_state.rs
@@ -148,7 +148,7 @@
     assert_eq!(backend.queue_ms(NOW), DurationMs(150));
     assert_eq!(backend.queue_ms(NOW.after(DurationMs(100))), DurationMs(50));
     assert_eq!(backend.occupancy(NOW), 2);
-    assert!(backend.pace > Pace::default());
+    assert!(backend.speed.pace() > Some(Pace::default()));
     let load_notice = Notice {
         loads: vec![(
             engine(),
@@ -156,6 +156,7 @@
                 running: 5,
                 waiting: 1,
                 limit: None,
+                work_percent: None,
             },
         )],
         ..notice
