Learn decoding speed from streams, and keep bursts out of the pace

Cause: engines that serve short prompts gave no sample of their speed; samples far from the pace, which had been discarded, could raise it while most prompts wait behind others. Change: a stream of a reporting server is a sample by its time between events, one in four of them. Samples far from the pace count only after one that is alike. Decode-heavy requests are packed up to a limit that follows the engine's speed. The log of a sent request names what the server takes well. The tests of learning go through ServerSpeed, with their old bounds.

--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -176,8 +176,15 @@
     let comfortable =
         model.comfortable_streams(backend, DurationMs(prefill_ms), targets, context.now);
     let relative_percent = model.relative_percent(backend, context.now);
-    let placement_cost = placement_cost(context, call, engine, steps_from_home, held == shared)
-        + speed_cost(call, backend, streams, comfortable, relative_percent)
+    let decode_limit = decode_slots(backend) * 100 / relative_percent;
+    let placement_cost = placement_cost(
+        context,
+        call,
+        engine,
+        steps_from_home,
+        held == shared,
+        decode_limit,
+    ) + speed_cost(call, backend, streams, comfortable, relative_percent)
         + deadline_cost(context, DurationMs(first_token_ms));
     // The delay that this prefill causes to streams already running on the engine. The delay to
     // the request's own stream is added below.
@@ -253,18 +260,20 @@
 }
 
 /// The cost of an engine apart from the time that it takes: for its distance from home, for the requests
-/// beside which this one would run, and for draining.
+/// beside which this one would run, and for draining. `decode_limit` is the number of requests up to which
+/// decode-heavy ones are packed on it.
 fn placement_cost(
     context: &ChoiceContext<'_>,
     call: &ModelCall<'_>,
     engine: &Candidate<'_>,
     steps_from_home: u64,
     holds_shared_parts: bool,
+    decode_limit: u64,
 ) -> u64 {
     let streams = engine.backend.occupancy(context.now);
     let steps_cost = steps_from_home.min(MAX_STEPS) * HOME_DISTANCE_COST_MS;
     let (distance_cost, load_cost, draining_cost) = if call.is_decode_heavy() {
-        let excess = streams.saturating_sub(decode_slots(engine.backend));
+        let excess = streams.saturating_sub(decode_limit);
         // Entry VMs with the same view of the load would all choose the first decode engine, so
         // the order of decode engines is randomized for each request.
         let distance_cost = if engine.is_decode_engine {
--- a/core/src/gateway/server_model.rs
+++ b/core/src/gateway/server_model.rs
@@ -19,17 +19,18 @@
 const NOMINAL_PERCENT: u64 = 100;
 /// Nominal work time of a request to a plain service, of which a pace is a percentage.
 const NOMINAL_WORK_MS: DurationMs = DurationMs(10);
-/// How far a sample moves the estimate, in percent of it. Samples within [`NEAR_PERCENT`] count alike,
-/// so that the estimate follows the median: some samples are too long, since another entry VM sent a
+/// How far a sample moves the estimate, in percent of it. All samples near it count alike, so that the estimate follows the median: some samples are too long, since another entry VM sent a
 /// prompt at the same moment, and some too short, since parts were cached unnoticed.
 const SAMPLE_STEP_PERCENT: u64 = 4;
 /// How far the first sample of a server moves the estimate. The second moves it half as far, and so on.
 const FIRST_STEP_PERCENT: u64 = 24;
-/// How far a sample moves the estimate that is misleading more often than not: the prompt was cached,
+/// The samples near an estimate, in percent of it. Others are mostly misleading: the prompt was cached,
 /// or other requests were ahead.
-const FAR_STEP_PERCENT: u64 = 1;
-/// The samples that aren't misleading more often than not, in percent of the estimate.
 const NEAR_PERCENT: RangeInclusive<u64> = 40..=140;
+/// How far a sample moves an estimate that isn't near it, if the one before was alike.
+const FAR_STEP_PERCENT: u64 = 2;
+/// Samples that differ by at most this much are alike. Misleading ones are scattered.
+const ALIKE_PERCENT: u64 = 15;
 /// Shortest nominal prefill time of a sample. The clock's resolution and the round trip are a small
 /// part of it.
 const MIN_SAMPLE_MS: DurationMs = DurationMs(40);
@@ -101,14 +102,8 @@
         }
     }
 
-    /// Moves the estimate towards a sample.
-    pub fn learn(&mut self, sample: Self) {
-        let is_near = NEAR_PERCENT.contains(&sample.relative_to(*self));
-        let step_percent = if is_near {
-            SAMPLE_STEP_PERCENT
-        } else {
-            FAR_STEP_PERCENT
-        };
+    /// Moves the estimate towards a sample by at most a percentage of the estimate.
+    fn step_towards(&mut self, sample: Self, step_percent: u64) {
         self.percent = step(self.percent, sample.percent, step_percent);
     }
 
@@ -196,6 +191,8 @@
     /// What neither the report nor the utilisation explains.
     pace: Pace,
     sample_count: u64,
+    /// The latest sample, if it wasn't near the pace.
+    far_sample: Option<Pace>,
     report: Option<Observed>,
     usual_report_percent: u64,
     /// The latest sample, if it was slow.
@@ -213,6 +210,7 @@
         Self {
             pace: Pace::default(),
             sample_count: 0,
+            far_sample: None,
             report: None,
             usual_report_percent: NOMINAL_PERCENT,
             slow_sample: None,
@@ -296,7 +294,6 @@
         if self.sample_count == 0 {
             self.pace = median.unwrap_or(load.first_pace(sample));
         }
-        self.sample_count += 1;
         let slowdown = slowdown_index(load.in_progress, load.slots).filter(|_| load.is_plain);
         if let Some(index) = slowdown {
             let ratio = sample.relative_to(self.pace);
@@ -306,12 +303,25 @@
         let percent = slowdown.map_or(100, |index| self.slowdown_percent[index]);
         let sample = sample.without(percent);
         self.record_slow(sample, now);
-        let first_step = FIRST_STEP_PERCENT / self.sample_count;
-        if first_step > SAMPLE_STEP_PERCENT {
-            self.pace.percent = step(self.pace.percent, sample.percent, first_step);
-        } else {
-            self.pace.learn(sample);
+        self.learn_pace(sample);
+    }
+
+    fn learn_pace(&mut self, sample: Pace) {
+        let is_near = NEAR_PERCENT.contains(&sample.relative_to(self.pace));
+        let earlier = std::mem::replace(&mut self.far_sample, (!is_near).then_some(sample));
+        let is_alike = earlier
+            .is_some_and(|earlier| sample.relative_to(earlier).abs_diff(100) <= ALIKE_PERCENT);
+        if !is_near && !is_alike {
+            return;
         }
+        self.sample_count += 1;
+        let least_step = if is_near {
+            SAMPLE_STEP_PERCENT
+        } else {
+            FAR_STEP_PERCENT
+        };
+        let first_step = FIRST_STEP_PERCENT / self.sample_count;
+        self.pace.step_towards(sample, first_step.max(least_step));
     }
 
     /// Records whether a sample was slow. One slow sample may be of a request that waited for another.
--- a/core/tests/gateway/server_model.rs
+++ b/core/tests/gateway/server_model.rs
@@ -1,14 +1,15 @@
 //! The predicted work time of servers, and how it adapts to measurements.
 
 use {
-    super::fixture::{ENGINES, NOW, PLAIN, World, long_prompt, spec, worker},
+    super::fixture::{ENGINES, NOW, PLAIN, World, long_prompt, short_prompt, spec, worker},
     cactusspur_core::{
         DurationMs, TimeMs, Tokens, WorkerId,
         gateway::{
             Choice, Load, Pace, ServerSpeed, StreamSample, StreamTargets, rendezvous_score,
-            server_model::nominal_prefill_ms,
+            server_model::{Utilization, nominal_prefill_ms},
         },
     },
+    std::iter,
     test_case::test_case,
 };
 
@@ -30,14 +31,31 @@
     );
 }
 
-#[test]
-fn a_slow_engine_is_learnt() {
-    let mut pace = Pace::default();
-    for _ in 0..12 {
-        pace.learn(Pace::sample(DurationMs(100), DurationMs(130)).expect("a sample"));
+/// The pace that is learnt of an engine from samples in percent of the nominal time.
+fn learnt(percents: impl Iterator<Item = u64>) -> Pace {
+    let nominal = DurationMs(200);
+    let idle = Utilization {
+        in_progress: 0,
+        slots: 64,
+        is_plain: false,
+    };
+    let mut speed = ServerSpeed::default();
+    for percent in percents {
+        let actual_ms = DurationMs(nominal.0 * percent / 100);
+        if let Some(sample) = Pace::sample(nominal, actual_ms) {
+            speed.learn(sample, idle, None, NOW);
+        }
     }
+    speed.pace().expect("samples")
+}
+
+#[test_case(130, 250, 260; "a slow engine")]
+#[test_case(160, 310, 320; "a slower one")]
+#[test_case(60, 120, 130; "a fast one")]
+fn the_speed_of_an_engine_is_learnt(percent: u64, least: u64, most: u64) {
+    let pace = learnt(iter::repeat_n(percent, 12));
     let scaled = pace.scale(DurationMs(200)).0;
-    assert!((250..=260).contains(&scaled), "{scaled}");
+    assert!((least..=most).contains(&scaled), "{scaled}");
 }
 
 #[test_case(20, 30; "too short a prompt")]
@@ -50,26 +68,32 @@
     );
 }
 
-/// Prompts that were in each other's way, or were cached, at every third sample: they must not move the
-/// estimate by more than three percent, whatever they show.
-#[test_case(50; "cached in part")]
-#[test_case(26; "cached almost entirely")]
-#[test_case(150; "one other was in the way")]
-#[test_case(490; "several were in the way")]
-fn misleading_samples_do_not_move_the_estimate(misleading_percent: u64) {
-    let nominal = DurationMs(1_000);
-    let mut pace = Pace::default();
-    for number in 0..90 {
-        let percent = if number % 3 == 0 {
-            misleading_percent
-        } else {
-            100
-        };
-        let sample = Pace::sample(nominal, DurationMs(nominal.0 * percent / 100));
-        pace.learn(sample.expect("a sample"));
-    }
-    let learnt = pace.scale(DurationMs(100)).0;
-    assert!(learnt.abs_diff(100) <= 3, "{learnt}");
+/// Prompts that were in each other's way, or were cached, at every third sample and scattered: they must
+/// not move the estimate by more than three percent.
+#[test_case(50, 2; "cached in part")]
+#[test_case(26, 2; "cached almost entirely")]
+#[test_case(150, 0; "one other was in the way")]
+#[test_case(150, 20; "some others were in the way")]
+#[test_case(490, 0; "several were in the way")]
+fn misleading_samples_do_not_move_the_estimate(percent: u64, scatter: u64) {
+    let percents = (0..90).map(|number| match number % 3 {
+        0 => percent + number % 10 * scatter,
+        _ => 100,
+    });
+    let scaled = learnt(percents).scale(DurationMs(100)).0;
+    assert!(scaled.abs_diff(100) <= 3, "{scaled}");
+}
+
+/// In a burst four of five prompts wait behind others, each for another time: the estimate must stay within
+/// the difference at which engines count as equally fast.
+#[test]
+fn a_burst_of_waiting_prompts_is_not_slowness() {
+    let percents = (0..300).map(|number| match number % 5 {
+        0 => 100,
+        _ => 150 + number * 97 % 300,
+    });
+    let scaled = learnt(percents).scale(DurationMs(100)).0;
+    assert!(scaled.abs_diff(100) <= 15, "{scaled}");
 }
 
 /// Engines of another kind, faster or slower than the nominal one, must be learnt from first
@@ -79,20 +103,12 @@
 #[test_case(100; "nominal engines")]
 #[test_case(130; "slow engines")]
 fn the_pace_of_any_engines_is_learnt(percent: u64) {
-    let nominal = DurationMs(200);
-    let mut pace = Pace::default();
-    for number in 0..120_u64 {
-        let actual = match number % 8 {
-            3 => percent / 2,
-            6 => percent + percent,
-            _ => percent + number % 5,
-        };
-        let sample = Pace::sample(nominal, DurationMs(nominal.0 * actual / 100));
-        if let Some(sample) = sample {
-            pace.learn(sample);
-        }
-    }
-    let learnt = pace.scale(DurationMs(100)).0;
+    let percents = (0..120).map(|number| match number % 8 {
+        3 => percent / 2,
+        6 => percent + percent,
+        _ => percent + number % 5,
+    });
+    let learnt = learnt(percents).scale(DurationMs(100)).0;
     assert!(learnt.abs_diff(percent) * 8 <= percent, "{learnt}");
 }
 
@@ -362,6 +378,62 @@
     assert!(later.prefill_ms.0 <= usual.prefill_ms.0 * 103 / 100);
 }
 
+/// One of 64 engines shares its machine with others and is 2.5 times slower: neither long nor short prompts
+/// may be sent there, and they must be again when it is as fast as the others.
+#[test_case(250, 0; "a slow moment")]
+#[test_case(100, 1; "the usual time")]
+fn a_slow_engine_gets_nothing_new(work_percent: u64, least: usize) {
+    let mut world = World::with_engines(64);
+    let fits = |choice: &Choice| choice.worker == worker(0);
+    let backend = world.backends.get_mut(worker(0)).expect("an engine");
+    backend.speed.record_report(Some(work_percent), NOW);
+    let long = (0..400).filter_map(|number| world.choose(&long_prompt(number, number), NOW));
+    let count = long.filter(fits).count();
+    assert!(
+        count >= least && (least > 0 || count == 0),
+        "{count} long prompts"
+    );
+    world.decode_heavy_requests = 64 * 64;
+    let mut count = 0;
+    for number in 0..400 {
+        world.random = rendezvous_score(number, worker(1));
+        let choice = world.choose(&short_prompt(number, number), NOW);
+        count += usize::from(choice.as_ref().is_some_and(fits));
+    }
+    assert!(
+        count >= least && (least > 0 || count == 0),
+        "{count} short prompts"
+    );
+}
+
+/// Gateways that know nothing of each other learn at the same moment that one of 240 engines is fast: their
+/// requests must not all go to it.
+#[test]
+fn a_fast_engine_is_not_stormed() {
+    let mut world = World::with_engines(240);
+    world.decode_heavy_requests = 300;
+    for number in 0..240 {
+        let percent = if number == 0 { 60 } else { 100 };
+        let sample = Pace::sample(DurationMs(100), DurationMs(percent)).expect("a sample");
+        for _ in 0..20 {
+            world.backends.learn_pace(worker(number), sample, NOW);
+        }
+    }
+    let mut stormed = [0; 2];
+    for number in 0..200 {
+        world.random = rendezvous_score(number, worker(1));
+        let prompts = [long_prompt(number, number), short_prompt(number, number)];
+        for (count, prompt) in stormed.iter_mut().zip(prompts) {
+            let choice = world.choose(&prompt, NOW).expect("an engine");
+            *count += usize::from(choice.worker == worker(0));
+        }
+    }
+    assert!(
+        stormed.iter().all(|count| *count <= 60),
+        "{stormed:?} of 200"
+    );
+}
+
 /// Each token takes longer the more requests run: an engine must take as many as leave the pauses between
 /// events within their target, which a slow engine reaches with fewer.
 #[test_case(100, 100, 31; "the usual time")]
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -27,6 +27,8 @@
 const MAX_PRIORITY: u8 = 9;
 /// Servers that may crash while they run a request before it is given up.
 const MAX_LOST_SERVERS: usize = 2;
+/// Streams of which one is a sample of its server's pace, so that notices stay small.
+const STREAMS_PER_SAMPLE: u32 = 4;
 /// The most bytes of a prompt's part names in one line of the log.
 const MAX_LOGGED_PROMPT_BYTES: usize = 256;
 
@@ -509,7 +511,9 @@
         let learnt = state.backends.learn_stream(self.choice.worker, sample, now);
         drop(state);
         // Long prompts measure an engine better, and tell it anyway.
-        if let Some(pace) = learnt.filter(|_| self.choice.is_decode_heavy) {
+        let is_drawn =
+            self.choice.is_decode_heavy && rand::random_range(0..STREAMS_PER_SAMPLE) == 0;
+        if let Some(pace) = learnt.filter(|_| is_drawn) {
             self.learn_pace(pace);
         }
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -520,7 +520,7 @@
         fetch = ?choice.fetch, unread = choice.prefill_tokens.0, unread_shared = choice.shared_prefill_tokens.0,
         unread_again = choice.recomputed_tokens.0,
         steps_from_home = choice.steps_from_home, queue_ms = choice.queue_ms.0,
-        predicted_ms = choice.first_token_ms.0,
+        predicted_ms = choice.first_token_ms.0, comfortable = choice.comfortable,
         occupancy = backend.map(|backend| backend.occupancy(now())),
         load_age_ms = backend.map(|backend| backend.load_age_ms(now()).0),
         left_ms = call.remaining_ms().0, last_event, resumes = call.head.resumes,
