Send nothing to failing servers for the sake of a deadline

Cause: a server that fails its requests at once has no queue, so that it was the one that seemed to make the deadline when the others were congested. Change: a server that fails most of its requests counts as missing the deadline, as late ones do.

--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -308,6 +308,13 @@
             .filter(move |row| !any_accepting || row.1.takes_requests(now))
     }
 
+    /// Whether an answer, or its first token, that comes after a time is before the deadline. A server that
+    /// fails most requests keeps no deadline.
+    pub(super) fn makes_deadline(&self, backend: &Backend, answer_ms: DurationMs) -> bool {
+        answer_ms <= self.remaining_ms
+            && backend.failure_permille(self.now) <= MAX_FAILURE_PERMILLE / 2
+    }
+
     /// The cost of a server apart from its load: for its distance and its recent failures.
     pub(super) fn server_cost(&self, backend: &Backend) -> u64 {
         let distance_cost = if backend.spec.domain == self.domain {
--- a/core/src/gateway/plain_choice.rs
+++ b/core/src/gateway/plain_choice.rs
@@ -73,8 +73,9 @@
             occupancy: backend.occupancy(context.now),
         })
         .collect();
-    let is_in_time =
-        |candidate: &Candidate<'_>| candidate.forecast.answer_ms <= context.remaining_ms;
+    let is_in_time = |candidate: &Candidate<'_>| {
+        context.makes_deadline(candidate.backend, candidate.forecast.answer_ms)
+    };
     if candidates.iter().any(is_in_time) {
         candidates.retain(is_in_time);
     }
@@ -107,8 +108,8 @@
 }
 
 /// Draws one of the servers that answer within about one work time of the earliest, and of those that
-/// aren't slow for a moment if any has room. Entry VMs that
-/// learn of a fast server at the same moment don't all choose it.
+/// aren't slow for a moment if any has room. Entry VMs that learn of a fast server at the same moment
+/// don't all choose it.
 fn draw<'a>(
     context: &ChoiceContext<'_>,
     model: &ServiceModel,
--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -185,7 +185,7 @@
         held == shared,
         decode_limit,
     ) + speed_cost(call, backend, streams, comfortable, relative_percent)
-        + deadline_cost(context, DurationMs(first_token_ms));
+        + deadline_cost(context, backend, DurationMs(first_token_ms));
     // The delay that this prefill causes to streams already running on the engine. The delay to
     // the request's own stream is added below.
     let stall_cost = |prefill_ms| stall_cost(prefill_ms, call.event_gap_ms);
@@ -251,11 +251,11 @@
 }
 
 /// The cost of a first token that comes after the deadline.
-fn deadline_cost(context: &ChoiceContext<'_>, first_token_ms: DurationMs) -> u64 {
-    if first_token_ms > context.remaining_ms {
-        MISSED_DEADLINE_COST_MS
-    } else {
+fn deadline_cost(context: &ChoiceContext<'_>, engine: &Backend, first_token_ms: DurationMs) -> u64 {
+    if context.makes_deadline(engine, first_token_ms) {
         0
+    } else {
+        MISSED_DEADLINE_COST_MS
     }
 }
 
--- a/core/tests/gateway/server_model.rs
+++ b/core/tests/gateway/server_model.rs
@@ -297,6 +297,27 @@
     }
 }
 
+/// Long queues at the engines that work, and none at one that fails all its requests at once: a request that
+/// would be late must not go there.
+#[test]
+fn a_failing_engine_keeps_no_deadline() {
+    let mut world = World::with_engines(3);
+    world.remaining_ms = Some(DurationMs(900));
+    for number in 0..3 {
+        let backend = world.backends.get_mut(worker(number)).expect("an engine");
+        if number > 0 {
+            backend.record_queued(DurationMs(1_000), NOW);
+        }
+        for _ in 0..8 {
+            backend.record_result(number > 0, NOW);
+        }
+    }
+    for number in 0..20 {
+        let choice = world.choose(&long_prompt(number, number), NOW);
+        assert_ne!(choice.expect("an engine").worker, worker(0));
+    }
+}
+
 /// A server that is silent must not look fast: a request that is overdue counts before it ends, unless the
 /// server has answered others since.
 #[test]
