Send requests to engines whose memory has room for them

Cause: running requests and cached parts share an engine's memory, but no decision saw it, so long prompts met at engines that had to preempt others.

`EngineMemory` counts what own requests hold exactly, and others' by number and mean size. An engine with room comes before one without; without room anywhere the expected wait counts into `queue_ms` and `first_token_ms`, and a prompt as large as the memory is given no engine.

--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod cached;
 pub mod choice;
+pub mod memory;
 pub mod pace;
 pub mod pause;
 mod prediction;
@@ -29,6 +30,7 @@
     choice::{
         AnnouncedWeights, Choice, ChoiceContext, Fetch, ModelCall, choose_model, choose_plain,
     },
+    memory::{EngineMemory, MemoryNeed, Room, TokenBlocks, can_hold},
     pace::Pace,
     pause::Pause,
     quarantine::{
--- a/core/src/gateway/backend.rs
+++ b/core/src/gateway/backend.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        memory::EngineMemory,
         pace::Pace,
         pause::Pause,
         send_limit::{LimitShare, RequestRate, SendLimit},
@@ -21,7 +22,7 @@
 /// as long as an answer takes.
 const LOAD_HALF_LIFE_MS: DurationMs = DurationMs(1_000);
 /// Decaying request counts are held in thousandths of a request.
-const MILLI: u64 = 1_000;
+pub(super) const MILLI: u64 = 1_000;
 /// Half-life of the failure rate: a few times the shortest outages that matter.
 const FAILURE_HALF_LIFE_MS: DurationMs = DurationMs(2_000);
 /// Weight of the newest result in the moving average of failures.
@@ -101,6 +102,8 @@
     pub spec: BackendSpec,
     /// This entry VM's requests in progress at the server.
     pub in_flight: u64,
+    /// What requests hold in an engine's memory.
+    pub memory: EngineMemory,
     /// The prefill time of an engine relative to the nominal engine.
     pub pace: Pace,
     /// The prefill time of this entry VM's requests that wait for their first token.
@@ -131,6 +134,7 @@
         Self {
             spec,
             in_flight: 0,
+            memory: EngineMemory::default(),
             pace: Pace::default(),
             local_prefill_ms: DurationMs(0),
             draining_until_ms: TimeMs(0),
@@ -358,10 +362,16 @@
         let others = decay(self.peers_milli, now.since(self.peers_at_ms)) / MILLI;
         reported.max(self.in_flight + others)
     }
+
+    /// The estimated number of other entry VMs' requests at the server.
+    #[must_use]
+    pub fn other_requests(&self, now: TimeMs) -> u64 {
+        self.occupancy(now).saturating_sub(self.in_flight)
+    }
 }
 
 /// Decays a count with a half-life of [`LOAD_HALF_LIFE_MS`], linearly interpolated in between.
-fn decay(milli: u64, age_ms: DurationMs) -> u64 {
+pub(super) fn decay(milli: u64, age_ms: DurationMs) -> u64 {
     let halvings = age_ms.0 / LOAD_HALF_LIFE_MS.0;
     let remainder_ms = age_ms.0 % LOAD_HALF_LIFE_MS.0;
     (milli >> halvings.min(63)) * (2 * LOAD_HALF_LIFE_MS.0 - remainder_ms)
@@ -395,6 +405,7 @@
         if known.started_at_ms != backend.spec.started_at_ms {
             backend.is_leaving = false;
             backend.pause = Pause::default();
+            backend.memory = EngineMemory::default();
             return true;
         }
         // The description lags behind the weights reported in answers to orders.
--- a/core/src/gateway/cached.rs
+++ b/core/src/gateway/cached.rs
@@ -17,7 +17,7 @@
 
 /// How long a part is assumed to stay in an engine's cache after its last use. Engines evict the
 /// least recently used parts, which takes longer than this at the usual load.
-const ENGINE_TTL_MS: DurationMs = DurationMs(8_000);
+pub(super) const ENGINE_TTL_MS: DurationMs = DurationMs(8_000);
 /// How long a part is assumed to stay in a KV cache store, which is larger than an engine's memory
 /// and receives only the parts that it lacks.
 const STORE_TTL_MS: DurationMs = DurationMs(25_000);
--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -4,6 +4,7 @@
     super::{
         backend::{Backend, BackendTable, MAX_FAILURE_PERMILLE},
         cached::{CachedParts, PromptPart, rendezvous_score},
+        memory::can_hold,
         pace::CHUNK_TOKENS,
         prediction::{Candidate, decode_slots, is_permitted, predict, save_target},
         routing::{KeptStore, ServiceSpec},
@@ -66,6 +67,10 @@
     pub queue_ms: DurationMs,
     /// The requests that wait at the server by its own report; 0 if it made none lately.
     pub reported_waiting: u64,
+    /// The tokens that the request adds to the engine's memory; zero if that isn't known to matter.
+    pub memory_tokens: Tokens,
+    /// Whether the engine has room for them, as far as known.
+    pub has_room: bool,
     /// The part of `prefill_tokens` that other requests can share.
     pub shared_prefill_tokens: Tokens,
     /// The part of `shared_prefill_tokens` that another server or store has cached or is
@@ -167,6 +172,8 @@
         prefill_ms: DurationMs(0),
         queue_ms: DurationMs(0),
         reported_waiting: 0,
+        memory_tokens: Tokens(0),
+        has_room: true,
         shared_prefill_tokens: Tokens(0),
         recomputed_tokens: Tokens(0),
         steps_from_home: 0,
@@ -183,6 +190,9 @@
     service: &ServiceSpec,
     call: &ModelCall<'_>,
 ) -> Option<Choice> {
+    if !can_hold(service.memory_tokens, call.parts) {
+        return None;
+    }
     let mut engines: Vec<Candidate<'_>> = context
         .eligible(&service.name)
         .filter_map(|(worker, backend)| {
@@ -240,10 +250,11 @@
     call: &ModelCall<'_>,
     engines: &[Candidate<'_>],
 ) -> Option<Choice> {
+    let rank = |(cost, choice): &(u64, Choice)| (is_last_resort(context, service, choice), *cost);
     let best_of = |candidates: &mut dyn Iterator<Item = (usize, &Candidate<'_>)>| {
         candidates
             .map(|(steps, engine)| predict(context, service, call, engine, steps as u64))
-            .min_by_key(|(cost, _)| *cost)
+            .min_by_key(rank)
     };
     let first = MIN_CANDIDATES.min(engines.len());
     let mut near_or_holding = engines
@@ -252,11 +263,19 @@
         .filter(|(steps, engine)| *steps < first || holds_last_part(context, call, engine));
     let mut best = best_of(&mut near_or_holding)?;
     let mut considered = first;
-    let limit = MAX_CANDIDATES.min(engines.len());
-    while considered < limit && is_congested(context, call, &best.1) {
-        let next = (considered * 2).min(limit);
+    while is_congested(context, call, &best.1) {
+        // One that would wait for memory or preempt another looks for room everywhere.
+        let limit = if best.1.has_room {
+            MAX_CANDIDATES
+        } else {
+            usize::MAX
+        };
+        let next = (considered * 2).min(limit).min(engines.len());
+        if next <= considered {
+            break;
+        }
         let mut further = engines.iter().enumerate().take(next).skip(considered);
-        if let Some(other) = best_of(&mut further).filter(|other| other.0 < best.0) {
+        if let Some(other) = best_of(&mut further).filter(|other| rank(other) < rank(&best)) {
             best = other;
         }
         considered = next;
@@ -264,6 +283,19 @@
     Some(best.1)
 }
 
+/// Whether an engine is used only if no other has room: for want of memory, or because it holds little
+/// as it fails or drains.
+fn is_last_resort(context: &ChoiceContext<'_>, service: &ServiceSpec, choice: &Choice) -> bool {
+    if service.memory_tokens.is_none() {
+        return false;
+    }
+    let Some(backend) = context.backends.get(choice.worker) else {
+        return true;
+    };
+    let is_failing = backend.failure_permille(context.now) >= MAX_FAILURE_PERMILLE / 2;
+    !choice.has_room || is_failing || context.now < backend.draining_until_ms
+}
+
 /// Whether a chosen engine has so much to do that others should be considered too.
 fn is_congested(context: &ChoiceContext<'_>, call: &ModelCall<'_>, choice: &Choice) -> bool {
     let max_queue_ms = DurationMs(call.target_ms.0 / MAX_QUEUE_DIVISOR);
@@ -273,7 +305,7 @@
     let is_draining = context.now < backend.draining_until_ms;
     let has_no_slot =
         call.is_decode_heavy() && backend.occupancy(context.now) >= decode_slots(backend);
-    choice.queue_ms > max_queue_ms || is_draining || has_no_slot
+    choice.queue_ms > max_queue_ms || !choice.has_room || is_draining || has_no_slot
 }
 
 /// Whether an engine holds the last shared part of a prompt, or is prefilling it.
--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -5,6 +5,7 @@
         backend::Backend,
         cached::{CacheScope, PromptPart, rendezvous_score, shared_keys},
         choice::{AnnouncedWeights, Choice, ChoiceContext, Fetch, ModelCall},
+        memory::{MemoryNeed, Room},
         pace::nominal_prefill_ms,
         routing::{KeptStore, ServiceSpec},
     },
@@ -160,7 +161,14 @@
     let prefill_ms = backend.pace.scale(nominal).0;
     let queued_ms = backend.queue_ms(context.now).0;
     let busy_ms = queued_ms + prefill_ms;
-    let first_token_ms = busy_ms + fetch_ms;
+    let need = MemoryNeed::new(&keys, call.parts, call.max_answer_tokens);
+    let room = service.memory_tokens.map_or_else(Room::default, |memory| {
+        let others = backend.other_requests(context.now);
+        backend.memory.room(&need, memory, others, context.now)
+    });
+    // Earlier requests end while their prompts are prefilled.
+    let wait_ms = queued_ms.max(room.wait_ms.0);
+    let first_token_ms = wait_ms + prefill_ms + fetch_ms;
     let streams = backend.occupancy(context.now);
     let placement_cost = placement_cost(context, call, engine, steps_from_home, held == shared);
     // The delay that this prefill causes to streams already running on the engine. The delay to
@@ -172,6 +180,8 @@
         + stall_cost(busy_ms)
         + recomputed * RECOMPUTE_COST_MS_PER_THOUSAND / 1_000
         + added * CACHE_FILL_COST_MS_PER_THOUSAND / 1_000
+        + room.missing_tokens.0 * RECOMPUTE_COST_MS_PER_THOUSAND / 1_000
+        + room.evicted_tokens.0 * CACHE_FILL_COST_MS_PER_THOUSAND / 1_000
         + placement_cost
         + old_weights_cost(weights, call.announced, context.now)
         + context.server_cost(backend);
@@ -184,8 +194,12 @@
         prefill_tokens: Tokens(unshared + shared_prefill),
         nominal_prefill_ms: nominal,
         prefill_ms: DurationMs(prefill_ms),
-        queue_ms: DurationMs(queued_ms),
+        queue_ms: DurationMs(wait_ms),
         reported_waiting: backend.reported_waiting(context.now),
+        memory_tokens: service
+            .memory_tokens
+            .map_or(Tokens(0), |_| need.added_tokens(held)),
+        has_room: room.fits(),
         shared_prefill_tokens: Tokens(shared_prefill),
         recomputed_tokens: Tokens(recomputed),
         steps_from_home,
--- a/core/src/gateway/routing.rs
+++ b/core/src/gateway/routing.rs
@@ -1,7 +1,10 @@
 //! Maps requests to routes, services and customers, with the limits that apply.
 
 use {
-    crate::{id::WorkerId, unit::DurationMs},
+    crate::{
+        id::WorkerId,
+        unit::{DurationMs, Tokens},
+    },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -94,6 +97,9 @@
     pub name: String,
     /// The number of connections that one backend server accepts from all entry VMs together.
     pub max_connections: usize,
+    /// The tokens that an engine's memory holds, for running requests and cached parts together;
+    /// `None` if that isn't known.
+    pub memory_tokens: Option<Tokens>,
     /// The bytes of KV cache per token.
     pub kv_bytes_per_token: u64,
     /// The rate at which an engine transfers KV cache, in megabits per second.
--- a/core/tests/gateway/fixture.rs
+++ b/core/tests/gateway/fixture.rs
@@ -57,6 +57,7 @@
     ServiceSpec {
         name: ENGINES.to_owned(),
         max_connections: 360,
+        memory_tokens: None,
         kv_bytes_per_token: 163_840,
         link_mbps: 740_000,
         kept_store: None,
@@ -111,6 +112,7 @@
     pub max_in_flight: Option<u64>,
     pub event_gap_ms: Option<DurationMs>,
     pub decode_heavy_requests: u64,
+    pub memory_tokens: Option<Tokens>,
     pub random: u64,
 }
 
@@ -175,7 +177,11 @@
             kept_stores: &stores,
             announced: &self.announced,
         };
-        choose_model(&self.context(tried, now), &service(), &call)
+        let service = ServiceSpec {
+            memory_tokens: self.memory_tokens,
+            ..service()
+        };
+        choose_model(&self.context(tried, now), &service, &call)
     }
 
     pub fn choose_plain(&self, random: u64, now: TimeMs) -> Option<Choice> {
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod cached;
 mod fixture;
 mod load;
+mod memory;
 mod pace;
 mod pause;
 mod quarantine;
