Tell other gateways what requests add to an engine's memory

Cause: a gateway can count only its own requests exactly, and each of many gateways sends few to any one engine.

Change: rows of sent requests in notices and digests carry the tokens that the request adds, in blocks of 256: one byte for up to 64,000 tokens. Own requests are counted from sending to their end. A prompt that is larger than an engine's memory is refused, not run. Status shows held and total tokens by engine.

A changed test: `what_peers_send_and_hear_counts` gives its rows a third value and checks the held tokens too.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -12,10 +12,10 @@
     cactusspur_core::{
         DurationMs, TimeMs, Verdict, WorkerId,
         gateway::{
-            CacheScope, CallKind, Choice, ChoiceContext, CustomerSpec, Fetch, KeptStore, ModelCall,
-            Pace, PartState, PartUpdate, RequestContent, RequestDigest, RequestIdentity, Route,
-            RoutingTable, SoftwareKey, StreamKey, choose_model, choose_plain, hash_prefixes,
-            shared_keys, shared_parts,
+            CacheScope, CallKind, Choice, ChoiceContext, CustomerSpec, Fetch, KeptStore,
+            MemoryNeed, ModelCall, Pace, PartState, PartUpdate, RequestContent, RequestDigest,
+            RequestIdentity, Route, RoutingTable, SoftwareKey, StreamKey, TokenBlocks, can_hold,
+            choose_model, choose_plain, hash_prefixes, shared_keys, shared_parts,
         },
     },
     http::{HeaderMap, Method, Request, Uri, uri::PathAndQuery},
@@ -390,6 +390,29 @@
         }
     }
 
+    /// What the request holds in the memory of the chosen engine; `None` if the engine's memory isn't
+    /// known.
+    fn memory_need(&self, choice: &Choice) -> Option<MemoryNeed> {
+        self.routing.service(&self.service)?.memory_tokens?;
+        let prompt = self.head.prompt.as_ref()?;
+        let scope = CacheScope::new(&prompt.model, choice.weights?, self.isolated_customer());
+        let keys: Vec<u64> = shared_keys(scope, &self.prefix_hashes).collect();
+        Some(MemoryNeed::new(
+            &keys,
+            &prompt.parts,
+            prompt.max_answer_tokens,
+        ))
+    }
+
+    /// Whether the prompt is larger than the memory of each engine of its service.
+    #[must_use]
+    pub fn exceeds_memory(&self) -> bool {
+        let service = self.routing.service(&self.service);
+        let memory_tokens = service.and_then(|service| service.memory_tokens);
+        let prompt = self.head.prompt.as_ref();
+        prompt.is_some_and(|prompt| !can_hold(memory_tokens, &prompt.parts))
+    }
+
     /// The configured KV cache store with the given id.
     fn kept_store(&self, id: WorkerId) -> Option<&KeptStore> {
         self.routing.kept_stores().find(|store| store.id == id)
@@ -415,6 +438,8 @@
 pub struct InFlightRequest {
     shared: Rc<Shared>,
     choice: Choice,
+    /// Identifies the request in the memory of its engine.
+    number: u64,
     sent_to: SentTo,
     is_prefilled: Cell<bool>,
     trial: Cell<Option<Trial>>,
@@ -425,21 +450,27 @@
     #[must_use]
     pub fn start(shared: &Rc<Shared>, call: &Call, choice: &Choice) -> Self {
         let sent_at_ms = now();
+        let number = rand::random();
         let mut state = shared.state.borrow_mut();
         let sent_to = state.sent_to(choice.worker, sent_at_ms);
         state.decode_heavy_requests += u64::from(choice.is_decode_heavy);
         if let Some(backend) = state.backends.get_mut(choice.worker) {
             backend.record_sent(choice.prefill_ms, sent_at_ms);
+            if let Some(need) = call.memory_need(choice) {
+                backend.memory.record_started(number, need, sent_at_ms);
+            }
         }
         drop(state);
-        if choice.prefill_ms > DurationMs(0) {
+        let memory = choice.memory_tokens.into();
+        if choice.prefill_ms > DurationMs(0) || memory > TokenBlocks(0) {
             shared
                 .peers
-                .queue_sent_request(shared, choice.worker, choice.prefill_ms);
+                .queue_sent_request(shared, choice.worker, choice.prefill_ms, memory);
         }
         Self {
             shared: Rc::clone(shared),
             choice: *choice,
+            number,
             sent_to,
             is_prefilled: Cell::new(false),
             trial: Cell::new(Trial::begin(shared, call, choice)),
@@ -508,12 +539,14 @@
 
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
+        let has_run = self.is_prefilled.get();
         self.record_prefill_ended();
         let mut state = self.shared.state.borrow_mut();
         let decode_heavy = u64::from(self.choice.is_decode_heavy);
         state.decode_heavy_requests = state.decode_heavy_requests.saturating_sub(decode_heavy);
         if let Some(backend) = state.backends.get_mut(self.choice.worker) {
             backend.record_ended();
+            backend.memory.record_ended(self.number, has_run, now());
         }
     }
 }
--- a/src/gateway/digest.rs
+++ b/src/gateway/digest.rs
@@ -13,7 +13,10 @@
     crate::peer::PeerRequest,
     cactusspur_core::{
         DurationMs, EntryId, TimeMs, VecMap, WorkerId,
-        gateway::{Load, Pace, PartState, PartUpdate, PastVersion, QuarantineReport, StreamOrigin},
+        gateway::{
+            Load, Pace, PartState, PartUpdate, PastVersion, QuarantineReport, StreamOrigin,
+            TokenBlocks,
+        },
     },
     derive_more::{Display, From, Into},
     serde::{Deserialize, Serialize},
@@ -53,6 +56,8 @@
     pub worker: WorkerId,
     /// The predicted prefill time.
     pub prefill_ms: DurationMs,
+    /// What it adds to the engine's memory.
+    pub memory: TokenBlocks,
 }
 
 /// A sample of an engine's pace.
@@ -317,11 +322,12 @@
     /// Merges a notice of a member of the own failure domain.
     pub fn add_notice(&mut self, origin: Origin, notice: &Notice) {
         let pending = &mut self.domain;
-        for (worker, prefill_ms) in &notice.sent_requests {
+        for (worker, prefill_ms, memory) in &notice.sent_requests {
             pending.add_sent(SentRequest {
                 origin,
                 worker: *worker,
                 prefill_ms: *prefill_ms,
+                memory: *memory,
             });
         }
         for (worker, load) in &notice.loads {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -238,14 +238,9 @@
             break false;
         }
         let Some(choice) = call.choose(shared, &tried) else {
-            let wait_ms = held_back_ms(shared, call);
-            if call.software().is_some() {
-                "no server of the stream's software version accepts new requests"
-                    .clone_into(&mut why);
-            }
-            if wait_ms > DurationMs(0) {
-                backlog_ms = Some(wait_ms);
-                "the backend servers ask for fewer requests".clone_into(&mut why);
+            if let Some((reason, wait_ms)) = why_none(shared, call) {
+                reason.clone_into(&mut why);
+                backlog_ms = wait_ms;
             }
             break false;
         };
@@ -302,6 +297,22 @@
     refuse(&call.head.request_id, &call.route.name, &refusal, &why)
 }
 
+/// Why no server can be chosen for a request, if there is more to say than that none accepts it, with the
+/// time after which one may be.
+fn why_none(shared: &Shared, call: &Call) -> Option<(&'static str, Option<DurationMs>)> {
+    if call.exceeds_memory() {
+        let why = "the prompt is larger than the memory of an engine";
+        return Some((why, Some(call.route.target_ms)));
+    }
+    let wait_ms = held_back_ms(shared, call);
+    if wait_ms > DurationMs(0) {
+        let why = "the backend servers ask for fewer requests";
+        return Some((why, Some(wait_ms)));
+    }
+    let why = "no server of the stream's software version accepts new requests";
+    call.software().map(|_| (why, None))
+}
+
 /// The time until a server of the request's service may be sent a request, if its servers ask for fewer.
 fn held_back_ms(shared: &Shared, call: &Call) -> DurationMs {
     let state = shared.state.borrow();
@@ -522,6 +533,7 @@
         steps_from_home = choice.steps_from_home, queue_ms = choice.queue_ms.0,
         predicted_ms = choice.first_token_ms.0,
         occupancy = backend.map(|backend| backend.occupancy(now())),
+        memory = choice.memory_tokens.0, has_room = choice.has_room,
         load_age_ms = backend.map(|backend| backend.load_age_ms(now()).0),
         left_ms = call.remaining_ms().0, last_event, resumes = call.head.resumes,
         software = backend.and_then(|backend| backend.spec.software.as_ref()).map(tracing::field::display),
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -4,7 +4,9 @@
     super::replica::StoreVersion,
     cactusspur_core::{
         DurationMs, WeightsVersion, WorkerId,
-        gateway::{Load, Pace, PartUpdate, PastVersion, QuarantineReport, StreamOrigin},
+        gateway::{
+            Load, Pace, PartUpdate, PastVersion, QuarantineReport, StreamOrigin, TokenBlocks,
+        },
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -19,8 +21,9 @@
     pub parts: Vec<PartUpdate>,
     /// The sender's requests in progress that mostly decode.
     pub decode_heavy_requests: u64,
-    /// Engines that were sent requests since the last notice, with the prefill time of each request.
-    pub sent_requests: Vec<(WorkerId, DurationMs)>,
+    /// Engines that were sent requests since the last notice, with the prefill time of each request
+    /// and what it adds to the engine's memory.
+    pub sent_requests: Vec<(WorkerId, DurationMs, TokenBlocks)>,
     /// The loads that backend servers reported since the last notice.
     pub loads: Vec<(WorkerId, Load)>,
     /// Pace samples of engines since the last notice.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -27,7 +27,10 @@
     bytes::Bytes,
     cactusspur_core::{
         DurationMs, EntryId, TimeMs, VecMap, WorkerId,
-        gateway::{Load, Pace, PartUpdate, QuarantineReport, SoftwareKey, StreamKey, StreamOrigin},
+        gateway::{
+            Load, Pace, PartUpdate, QuarantineReport, SoftwareKey, StreamKey, StreamOrigin,
+            TokenBlocks,
+        },
     },
     error_stack::{Report, ResultExt},
     std::{
@@ -116,7 +119,7 @@
     last_number: Cell<u64>,
     peer_links: RefCell<VecMap<SocketAddr, Rc<PeerLink>>>,
     part_updates: RefCell<Vec<PartUpdate>>,
-    sent_requests: RefCell<Vec<(WorkerId, DurationMs)>>,
+    sent_requests: RefCell<Vec<(WorkerId, DurationMs, TokenBlocks)>>,
     loads: RefCell<Vec<(WorkerId, Load)>>,
     paces: RefCell<Vec<(WorkerId, Pace)>>,
     streams: RefCell<Vec<StreamOrigin>>,
@@ -195,8 +198,10 @@
         shared: &Rc<Shared>,
         worker: WorkerId,
         prefill_ms: DurationMs,
+        memory: TokenBlocks,
     ) {
-        self.sent_requests.borrow_mut().push((worker, prefill_ms));
+        let sent = (worker, prefill_ms, memory);
+        self.sent_requests.borrow_mut().push(sent);
         self.flush_soon(shared);
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -410,9 +410,10 @@
                 backend.pace.learn(*sample);
             }
         }
-        for (worker, prefill_ms) in &notice.sent_requests {
+        for (worker, prefill_ms, memory) in &notice.sent_requests {
             if let Some(backend) = self.backends.get_mut(*worker) {
                 backend.record_sent_by_peer(*prefill_ms, now);
+                backend.memory.record_sent_by_peer((*memory).into(), now);
             }
         }
         for (worker, load) in &notice.loads {
@@ -449,6 +450,7 @@
         for sent in digest.sent_requests.iter().filter(|row| row.origin != own) {
             if let Some(backend) = self.backends.get_mut(sent.worker) {
                 backend.record_sent_by_peer(sent.prefill_ms, now);
+                backend.memory.record_sent_by_peer(sent.memory.into(), now);
             }
         }
         for sample in digest.paces.iter().filter(|row| row.origin != own) {
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -3,7 +3,7 @@
 use {
     super::{Shared, clock::now, notice::WeightsNotice, state::GatewayState},
     cactusspur_core::{
-        DurationMs, TimeMs, WeightsVersion,
+        DurationMs, TimeMs, Tokens, WeightsVersion,
         gateway::{Backend, Suspect},
     },
     serde::{Deserialize, Serialize},
@@ -78,12 +78,19 @@
     pub occupancy: u64,
     /// The estimated time until the server has prefilled the prompts in its queue.
     pub queue_ms: DurationMs,
+    /// The estimated tokens that requests of all gateways hold in an engine's memory.
+    #[serde(default)]
+    pub held_tokens: Tokens,
+    /// The tokens that the engine's memory holds; `None` if that isn't known.
+    #[serde(default)]
+    pub memory_tokens: Option<Tokens>,
     /// The share of recent requests that failed, in thousandths.
     pub failure_permille: u64,
 }
 
 impl BackendStatus {
-    fn new(backend: &Backend, now: TimeMs) -> Self {
+    fn new(backend: &Backend, memory_tokens: Option<Tokens>, now: TimeMs) -> Self {
+        let others = backend.other_requests(now);
         Self {
             instance: backend.spec.instance.clone(),
             service: backend.spec.service.clone(),
@@ -94,6 +101,8 @@
             in_flight: backend.in_flight,
             occupancy: backend.occupancy(now),
             queue_ms: backend.queue_ms(now),
+            held_tokens: backend.memory.held_tokens(others, Tokens(0)),
+            memory_tokens,
             failure_permille: backend.failure_permille(now),
         }
     }
@@ -128,12 +137,18 @@
             backends: state
                 .backends
                 .iter()
-                .map(|row| BackendStatus::new(row.1, now))
+                .map(|row| BackendStatus::new(row.1, memory_tokens(&state, row.1), now))
                 .collect(),
         }
     }
 }
 
+/// The memory of an engine by the configuration in force.
+fn memory_tokens(state: &GatewayState, backend: &Backend) -> Option<Tokens> {
+    let routing = state.routing.as_ref()?;
+    routing.service(&backend.spec.service)?.memory_tokens
+}
+
 fn kept_stores(state: &GatewayState) -> Vec<KeptStoreStatus> {
     let routing = state.routing.iter();
     let stores = routing.flat_map(|routing| routing.kept_stores());
--- a/tests/gateway_state.rs
+++ b/tests/gateway_state.rs
@@ -7,8 +7,8 @@
         state::GatewayState,
     },
     cactusspur_core::{
-        DurationMs, TimeMs, WeightsVersion, WorkerId,
-        gateway::{BackendSpec, Load, Pace, PartState, PartUpdate, RetryBudgetLimits},
+        DurationMs, TimeMs, Tokens, WeightsVersion, WorkerId,
+        gateway::{BackendSpec, Load, Pace, PartState, PartUpdate, RetryBudgetLimits, TokenBlocks},
     },
     std::net::SocketAddr,
     test_case::test_case,
@@ -139,7 +139,10 @@
     let slow = Pace::sample(DurationMs(100), DurationMs(135)).expect("a sample");
     let notice = Notice {
         address: Some(address(7_013)),
-        sent_requests: vec![(engine(), DurationMs(90)), (engine(), DurationMs(60))],
+        sent_requests: vec![
+            (engine(), DurationMs(90), TokenBlocks(4)),
+            (engine(), DurationMs(60), TokenBlocks(2)),
+        ],
         paces: vec![(engine(), slow)],
         ..Notice::default()
     };
@@ -148,6 +151,10 @@
     assert_eq!(backend.queue_ms(NOW), DurationMs(150));
     assert_eq!(backend.queue_ms(NOW.after(DurationMs(100))), DurationMs(50));
     assert_eq!(backend.occupancy(NOW), 2);
+    let held = backend
+        .memory
+        .held_tokens(backend.other_requests(NOW), Tokens(0));
+    assert_eq!(held, Tokens(6 * 256));
     assert!(backend.pace > Pace::default());
     let load_notice = Notice {
         loads: vec![(
