Bound what is held for callers and servers that read slowly

Cause: whole answers and events that a caller doesn't read, and request bodies while a server doesn't answer, were held without a common bound, and a caller that paused for 1.5 s with a full window was cut off.

Change: where `limits.memoryMb` is set, bytes are counted over all connections, up to a quarter of the memory. A request without room for its body is refused at once, not run; large answers wait at their servers; streams go on as their callers read. A caller is given up at its deadline, or after taking nothing for the idle time. Without the setting there is no bound, as before. Status shows `held_bytes`.

With the limit taken out of the tests as a trial, `a_caller_that_pauses_gets_its_answer` fails, but `answers_for_slow_callers_stay_bounded` passes, so that one doesn't yet catch an absent limit. The root tests were not run on this commit.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod digest;
 pub mod event_stream;
 pub mod forward;
+pub mod held;
 pub mod kept_stores;
 pub mod lease;
 pub mod link;
@@ -33,8 +34,8 @@
 
 use {
     crate::gateway::{
-        clock::now, link::ConnectionPool, peers::PeerGroup, protocol::PlatformProtocol,
-        state::GatewayState, store::MetadataStore,
+        clock::now, held::HeldBytes, link::ConnectionPool, peers::PeerGroup,
+        protocol::PlatformProtocol, state::GatewayState, store::MetadataStore,
     },
     cactusspur_core::{DurationMs, TimeMs, gateway::RetryBudgetLimits},
     derive_more::Display,
@@ -81,6 +82,8 @@
     pub handover_pause_ms: DurationMs,
     /// How long the process may take to shut down.
     pub grace_ms: DurationMs,
+    /// The memory that the process may use, in bytes; `None` if that isn't known.
+    pub memory_bytes: Option<usize>,
 }
 
 /// The error of a gateway that can't start.
@@ -98,6 +101,8 @@
     pub protocol: Box<dyn PlatformProtocol>,
     /// The pool of connections to backend servers.
     pub connection_pool: ConnectionPool,
+    /// What is held for callers and servers that read slowly.
+    pub held: HeldBytes,
     /// The configuration, the backend servers and what is known of their caches.
     pub state: RefCell<GatewayState>,
     /// The communication with other gateways.
@@ -162,6 +167,7 @@
         let shared = Rc::new(Shared {
             protocol,
             connection_pool: ConnectionPool::new(),
+            held: HeldBytes::new(settings.memory_bytes),
             state: RefCell::new(state),
             peers,
             is_stopping: Cell::new(false),
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -4,6 +4,7 @@
     super::{
         Shared,
         clock::now,
+        held::Hold,
         protocol::{ForwardHead, ModelForwardHead, RequestHead},
         quarantine::Trial,
         state::SentTo,
@@ -57,6 +58,8 @@
     path: Uri,
     headers: HeaderMap,
     body: Bytes,
+    /// Counts the body as long as it is kept.
+    _hold: Hold,
     prefix_hashes: Vec<u64>,
     random: u64,
 }
@@ -76,6 +79,8 @@
     pub parts: http::request::Parts,
     /// The body.
     pub body: Bytes,
+    /// The count of the body's bytes.
+    pub hold: Hold,
     /// The gateway's header fields, parsed from `parts`.
     pub head: RequestHead,
     /// When the head of the request arrived.
@@ -121,6 +126,7 @@
         let ReceivedRequest {
             parts,
             body,
+            hold,
             head,
             received_at_ms,
         } = received;
@@ -156,6 +162,7 @@
             path: parts.uri,
             headers: parts.headers,
             body,
+            _hold: hold,
             head,
             identity: RequestIdentity {
                 digest,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -5,20 +5,21 @@
         Shared,
         call::{AdmissionError, AttemptFailure, Call, InFlightRequest, ReceivedRequest, admit},
         clock::now,
-        link::{ExchangeFailure, UnreadResponse},
+        held::{FULL_RETRY_AFTER_MS, HeldBytes, Hold},
+        link::{ExchangeFailure, MAX_UNSHARED_BUFFER_BYTES, UnreadResponse},
         protocol::ResponseHead,
         quarantine, relay,
         response::{self, ResponseBody},
         versions, weights,
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     cactusspur_core::{
         Cause, DurationMs, Refusal, Verdict, WorkerId,
         gateway::{Admission, CallKind, Choice, check_in_time, retry_after},
     },
     http::{Request, Response, StatusCode, header, response::Parts},
     http_body_util::{BodyExt, LengthLimitError, Limited},
-    hyper::body::Incoming,
+    hyper::body::{Body, Incoming},
     std::{rc::Rc, time::Duration},
     tokio::time::timeout,
 };
@@ -77,12 +78,9 @@
     if let Err(error) = admit(&routing, &parts, &head) {
         return reject(&shared, error, &head.request_id, &parts, routing.version);
     }
-    let body = match read_body(body, routing.limits.max_body_bytes).await {
-        Ok(body) => body,
-        Err(status) => {
-            tracing::info!(request = head.request_id, %status, "failed to read the request body");
-            return response::empty(status);
-        }
+    let (body, hold) = match read_body(body, routing.limits.max_body_bytes, &shared.held).await {
+        Ok(read) => read,
+        Err(status) => return reject_body(&head.request_id, status),
     };
     let routing = ready_routing(&shared).unwrap_or(routing);
     let (route, customer) = match admit(&routing, &parts, &head) {
@@ -92,6 +90,7 @@
     let received = ReceivedRequest {
         parts,
         body,
+        hold,
         head,
         received_at_ms,
     };
@@ -172,6 +171,21 @@
     response::empty(status)
 }
 
+/// Logs why a request's body isn't read and returns the response for it.
+fn reject_body(request: &str, status: StatusCode) -> Response<ResponseBody> {
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let refusal = Refusal {
+            verdict: Verdict::NotRun,
+            cause: Cause::Overload,
+            retry_after_ms: FULL_RETRY_AFTER_MS,
+        };
+        let why = "no room for its body beside what is held for slow callers and servers";
+        return refuse(request, "", &refusal, why);
+    }
+    tracing::info!(request, %status, "failed to read the request body");
+    response::empty(status)
+}
+
 /// Logs a refusal and returns the response for it.
 fn refuse(request: &str, route: &str, refusal: &Refusal, why: &str) -> Response<ResponseBody> {
     tracing::info!(
@@ -182,12 +196,48 @@
 }
 
 /// Reads a request body of at most `max_bytes`. The error is the status to respond with.
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, StatusCode> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(_) => Err(StatusCode::BAD_REQUEST),
+async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    all_held: &HeldBytes,
+) -> Result<(Bytes, Hold), StatusCode> {
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if announced > max_bytes {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
+    if !all_held.has_room(announced) {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let mut hold = all_held.hold(0);
+    let mut read = BytesMut::new();
+    let mut body = Limited::new(body, max_bytes);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                StatusCode::PAYLOAD_TOO_LARGE
+            } else {
+                StatusCode::BAD_REQUEST
+            }
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if !all_held.has_room(data.len()) {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        hold.grow(data.len());
+        read.extend_from_slice(&data);
+    }
+    Ok((read.freeze(), hold))
+}
+
+/// The announced length of a large answer, in bytes; zero of any other.
+fn large_answer_bytes(headers: &http::HeaderMap) -> usize {
+    let length = headers.get(header::CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    length
+        .filter(|length| (MAX_UNSHARED_BUFFER_BYTES..=MAX_BUFFERED_RESPONSE_BYTES).contains(length))
+        .unwrap_or_default()
 }
 
 /// The outcome of one attempt to have a request served.
@@ -604,6 +654,12 @@
         let response = relay::start(shared, call, *choice, reply, in_flight);
         return Outcome::Answered(response);
     }
+    // The server waits with a large answer while slow callers leave too much unread.
+    let announced = large_answer_bytes(headers);
+    let mut hold = shared
+        .held
+        .hold_when_free(announced, || announced == 0)
+        .await;
     let read = reply
         .read(&shared.connection_pool, MAX_BUFFERED_RESPONSE_BYTES)
         .await;
@@ -620,7 +676,14 @@
     }
     record_result(shared, choice.worker, succeeded);
     log_answered(call, choice, &head);
-    let response = response::with_body(head.status, response_headers(shared, &head), body);
+    let headers = response_headers(shared, &head);
+    let response = if shared.held.is_limited() {
+        hold.grow(body.len().saturating_sub(announced));
+        let limit = Duration::from_millis(call.caller_deadline_ms.since(now()).0);
+        response::with_held_body(head.status, headers, body, hold, limit)
+    } else {
+        response::with_body(head.status, headers, body)
+    };
     if succeeded || !call.kind().may_repeat() {
         Outcome::Answered(response)
     } else {
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -484,6 +484,15 @@
     matches!(attempt, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
 
+/// Sets the socket options of a caller's connection. One that takes nothing for `silence` counts as gone; the
+/// system's limit applies also to a peer that acknowledges but doesn't read.
+pub fn set_caller_options(stream: &TcpStream, silence: Duration) {
+    set_socket_options(stream);
+    if let Err(error) = SockRef::from(stream).set_tcp_user_timeout(Some(silence)) {
+        tracing::debug!(%error, "failed to set a socket option");
+    }
+}
+
 /// Sets the socket options by which a connection detects that its peer is gone without a reset.
 pub fn set_socket_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,7 +10,7 @@
         forward,
         link::{Connection, UnreadResponse},
         quarantine,
-        response::{IncompleteResponse, ResponseBody, StreamedBody},
+        response::{Chunk, IncompleteResponse, ResponseBody, StreamedBody},
         versions,
     },
     bytes::Bytes,
@@ -136,7 +136,7 @@
 struct Relay {
     shared: Rc<Shared>,
     call: Rc<Call>,
-    sender: mpsc::Sender<Result<Bytes, IncompleteResponse>>,
+    sender: mpsc::Sender<Result<Chunk, IncompleteResponse>>,
     /// The id of the last event that the caller has.
     last_event: Option<u64>,
     /// Events received from all sources, including repeated ones.
@@ -168,6 +168,9 @@
                 }
                 SourceEnd::CallerLeft => {
                     self.log(worker, "caller left");
+                    drop(source);
+                    // One that has only not read in time must not take the stream for complete.
+                    let _ = self.sender.send(Err(IncompleteResponse)).await;
                     return;
                 }
                 SourceEnd::TakenOver(next) => {
@@ -319,7 +322,7 @@
                 continue;
             }
             self.last_event = event.id.or(self.last_event);
-            if self.sender.send(Ok(event.bytes)).await.is_err() {
+            if !self.pass_on(event.bytes).await {
                 return false;
             }
             // While a slow caller reads, nothing is read from the server.
@@ -328,6 +331,23 @@
         true
     }
 
+    /// Sends an event to the caller. While too much is held for all callers, only streams of which the
+    /// caller has taken all go on. Returns whether the caller is still connected.
+    async fn pass_on(&self, bytes: Bytes) -> bool {
+        let all_held = &self.shared.held;
+        let has_taken_all = || self.sender.capacity() == MAX_BUFFERED_EVENTS;
+        let send = async {
+            let hold = Some(all_held.hold_when_free(bytes.len(), has_taken_all).await);
+            self.sender.send(Ok(Chunk { bytes, hold })).await.is_ok()
+        };
+        if !all_held.is_limited() {
+            return send.await;
+        }
+        // A caller that has not read by its deadline holds memory in vain.
+        let limit = Duration::from_millis(self.call.remaining_ms().0);
+        timeout(limit, send).await.unwrap_or(false)
+    }
+
     /// How long the source may go on without an event, or `None` when the time for the response is over. A
     /// stream that can't be resumed may be silent until then.
     fn silence_limit(&self, source: &Source) -> Option<Duration> {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -114,9 +114,14 @@
 /// Serves the requests of one caller's connection, under the limits that are configured when it is
 /// accepted.
 async fn serve(shared: Rc<Shared>, stream: TcpStream, stopped: watch::Receiver<bool>) {
-    link::set_socket_options(&stream);
     let limits = shared.state.borrow().routing.as_ref().map(|r| r.limits);
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| Duration::from_millis(l.idle_ms.0));
+    if shared.held.is_limited() {
+        // A caller that reads slowly holds a bounded part of the memory.
+        link::set_caller_options(&stream, idle_timeout);
+    } else {
+        link::set_socket_options(&stream);
+    }
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |l| l.max_head_bytes);
     let (has_request, first_request) = watch::channel(false);
     let service = service_fn(|request: Request<Incoming>| {
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -39,6 +39,9 @@
     pub kept_stores: Vec<KeptStoreStatus>,
     /// The number of prompt parts that are assumed to be cached on some server.
     pub cached_parts: usize,
+    /// The bytes that are held for callers and servers that read slowly.
+    #[serde(default)]
+    pub held_bytes: usize,
     /// The prompt parts on which engines crash, or may do so.
     #[serde(default)]
     pub suspects: Vec<Suspect>,
@@ -132,6 +135,7 @@
             weights: state.weights_notices(now),
             kept_stores: kept_stores(&state),
             cached_parts: state.cached_parts.len(),
+            held_bytes: shared.held.used_bytes(),
             suspects: state.quarantine.suspects(now),
             repeats_left: state.retry_budget.remaining().collect(),
             backends: state
