--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -12,6 +12,7 @@
 pub mod explanation;
 pub mod overload;
 pub mod pace;
+pub mod past_versions;
 pub mod pause;
 mod prediction;
 pub mod quarantine;
@@ -38,6 +39,7 @@
         RefusalReason,
     },
     pace::Pace,
+    past_versions::{PastVersion, PastVersions, VersionRecord},
     pause::Pause,
     quarantine::{
         AccusedRequest, Admission, CrashReport, Culprit, PartId, PassReport, Quarantine,
@@ -49,9 +51,7 @@
         CallKind, CallerLimits, CustomerSpec, KeptStore, Route, RoutingTable, ServiceSpec, Split,
     },
     send_limit::{LimitShare, RequestRate, RequestRateError, SendLimit},
-    stream_origin::{
-        PastVersion, PastVersions, SoftwareKey, StreamKey, StreamOrigin, StreamOrigins,
-    },
+    stream_origin::{SoftwareKey, StreamKey, StreamOrigin, StreamOrigins},
     usage::{
         Charge, Fleet, OverCap, UsageCap, UsageLimits, UsageOrigin, UsageRequest, UsageRow,
         UsageState, UsageTable, UsageUnit,
--- a/core/src/gateway/backend.rs
+++ b/core/src/gateway/backend.rs
@@ -110,6 +110,8 @@
     pub draining_until_ms: TimeMs,
     /// The time until which the server rejects new requests because it loads weights.
     pub loading_until_ms: TimeMs,
+    /// The time until which the server's software version is awaited in the platform's store.
+    pub unrecorded_until_ms: TimeMs,
     queued_ms: DurationMs,
     queued_at_ms: TimeMs,
     load: Load,
@@ -135,6 +137,7 @@
             local_prefill_ms: DurationMs(0),
             draining_until_ms: TimeMs(0),
             loading_until_ms: TimeMs(0),
+            unrecorded_until_ms: TimeMs(0),
             queued_ms: DurationMs(0),
             queued_at_ms: TimeMs(0),
             load: Load::default(),
@@ -314,10 +317,11 @@
         now >= self.unreachable_until_ms
     }
 
-    /// Whether the server is reachable and isn't loading weights.
+    /// Whether the server is reachable, isn't loading weights, and streams that begin there can be taken up
+    /// after the loss of all entry VMs.
     #[must_use]
     pub fn takes_requests(&self, now: TimeMs) -> bool {
-        self.is_reachable(now) && now >= self.loading_until_ms
+        self.is_reachable(now) && now >= self.loading_until_ms && now >= self.unrecorded_until_ms
     }
 
     /// The decaying rate of failed requests, from 0 to [`MAX_FAILURE_PERMILLE`].
@@ -422,6 +426,15 @@
             .map(BackendSpec::software_key)
     }
 
+    /// The servers of a service, mutable.
+    pub fn of_service_mut<'a>(
+        &'a mut self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a mut Backend> {
+        let rows = self.rows.iter_mut().map(|row| row.1);
+        rows.filter(move |backend| backend.spec.service == service)
+    }
+
     /// The server with this id.
     #[must_use]
     pub fn get(&self, worker: WorkerId) -> Option<&Backend> {
--- a/core/src/gateway/routing.rs
+++ b/core/src/gateway/routing.rs
@@ -240,6 +240,18 @@
             .unwrap_or_default()
     }
 
+    /// The services whose streams may be taken up, in order.
+    #[must_use]
+    pub fn resumable_services(&self) -> Vec<&str> {
+        let kind = CallKind::Stream { resumable: true };
+        let routes = self.routes.iter().filter(|route| route.kind == kind);
+        let splits = routes.flat_map(|route| &route.splits);
+        let mut names: Vec<&str> = splits.map(|split| split.service.as_str()).collect();
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
     /// The KV cache stores.
     pub fn kept_stores(&self) -> impl Iterator<Item = &KeptStore> {
         let services = self.services.iter();
--- a/core/src/gateway/stream_origin.rs
+++ b/core/src/gateway/stream_origin.rs
@@ -7,10 +7,7 @@
 
 use {
     super::backend::SoftwareVersion,
-    crate::{
-        unit::{DurationMs, TimeMs},
-        vec_map::VecMap,
-    },
+    crate::unit::{DurationMs, TimeMs},
     derive_more::{Display, From, Into},
     serde::{Deserialize, Serialize},
     std::collections::VecDeque,
@@ -21,8 +18,6 @@
 const BUCKET_MS: DurationMs = DurationMs(2_000);
 /// How long an origin is kept before any configuration says how long streams last.
 const DEFAULT_LIFETIME_MS: DurationMs = DurationMs(60_000);
-/// Past versions of services in a report.
-const MAX_PAST_VERSIONS: usize = 32;
 
 /// The hash of the caller and its id of the attempt that began a stream.
 #[derive(
@@ -188,85 +183,3 @@
         self.len() == 0
     }
 }
-
-/// A version that a service had, as entry VMs tell each other.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PastVersion {
-    /// The service.
-    pub service: String,
-    /// The version.
-    pub software: SoftwareKey,
-    /// The time since a server of it was listed.
-    pub age_ms: DurationMs,
-}
-
-/// The versions whose last server is no longer listed. Streams that they began may still be taken up.
-#[derive(Clone, Debug, Default)]
-pub struct PastVersions {
-    rows: VecMap<(String, SoftwareKey), TimeMs>,
-}
-
-impl PastVersions {
-    /// Records that a server of a version was listed until now.
-    pub fn record(&mut self, service: &str, software: SoftwareKey, now: TimeMs) {
-        self.record_at(service, software, now);
-    }
-
-    /// Records what another entry VM reports.
-    pub fn apply(&mut self, reported: &[PastVersion], now: TimeMs) {
-        for row in reported {
-            let at_ms = TimeMs(now.0.saturating_sub(row.age_ms.0));
-            self.record_at(&row.service, row.software, at_ms);
-        }
-    }
-
-    fn record_at(&mut self, service: &str, software: SoftwareKey, at_ms: TimeMs) {
-        let key = (service.to_owned(), software);
-        let last_at_ms = self.rows.get_or_insert_with(key, || at_ms);
-        *last_at_ms = at_ms.max(*last_at_ms);
-    }
-
-    /// The only version of a service whose servers have the versions in `listed`, if it had no other one
-    /// within `lifetime_ms`.
-    pub fn only_version<I>(
-        &self,
-        service: &str,
-        listed: I,
-        lifetime_ms: DurationMs,
-        now: TimeMs,
-    ) -> Option<SoftwareKey>
-    where
-        I: IntoIterator<Item = SoftwareKey>,
-    {
-        let mut listed = listed.into_iter();
-        let first = listed.next()?;
-        let mut past = self.rows.iter();
-        let had_other = past.any(|((name, software), last_at_ms)| {
-            name == service && *software != first && now.since(*last_at_ms) < lifetime_ms
-        });
-        (!had_other && listed.all(|software| software == first)).then_some(first)
-    }
-
-    /// Forgets the versions that no server has had for `lifetime_ms`.
-    pub fn forget_old(&mut self, lifetime_ms: DurationMs, now: TimeMs) {
-        self.rows
-            .retain(|_, last_at_ms| now.since(*last_at_ms) < lifetime_ms);
-    }
-
-    /// What other entry VMs must know.
-    #[must_use]
-    pub fn report(&self, lifetime_ms: DurationMs, now: TimeMs) -> Vec<PastVersion> {
-        let recent = self.rows.iter();
-        let recent = recent.filter(|row| now.since(*row.1) < lifetime_ms);
-        let mut rows: Vec<PastVersion> = recent
-            .map(|((service, software), last_at_ms)| PastVersion {
-                service: service.clone(),
-                software: *software,
-                age_ms: now.since(*last_at_ms),
-            })
-            .collect();
-        rows.sort_by_key(|row| row.age_ms);
-        rows.truncate(MAX_PAST_VERSIONS);
-        rows
-    }
-}
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod load;
 mod overload;
 mod pace;
+mod past_versions;
 mod pause;
 mod quarantine;
 mod queue_model;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -30,6 +30,7 @@
 pub mod store;
 pub mod store_polls;
 pub mod usage;
+pub mod version_records;
 pub mod versions;
 pub mod watch;
 pub mod weights;
@@ -122,6 +123,8 @@
     pub store_answers: Notify,
     /// Notified when requests with some prompt parts are refused from now on.
     pub quarantine_changed: Notify,
+    /// Notified when servers were listed or removed, so that the versions of a service may have changed.
+    pub servers_listed: Notify,
     /// Notified when another gateway has told where streams began.
     pub streams_learned: Notify,
     /// Whether a report of customers' use is scheduled.
@@ -180,6 +183,7 @@
             store_restored: Notify::new(),
             store_answers: Notify::new(),
             quarantine_changed: Notify::new(),
+            servers_listed: Notify::new(),
             streams_learned: Notify::new(),
             is_usage_report_due: Cell::new(false),
             weights_changed: Notify::new(),
@@ -189,6 +193,7 @@
         peers::spawn(&shared)?;
         watch::spawn(&shared, &store);
         weights::spawn(&shared, &store);
+        version_records::spawn(&shared, &store);
         kept_stores::spawn(&shared);
         server::spawn_readiness(&shared).await?;
         server::spawn_metrics(&shared).await?;
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -4,7 +4,10 @@
     super::replica::StoreVersion,
     cactusspur_core::{
         DurationMs, WeightsVersion, WorkerId,
-        gateway::{Load, Pace, PartUpdate, PastVersion, QuarantineReport, StreamOrigin, UsageRow},
+        gateway::{
+            Load, Pace, PartUpdate, PastVersion, QuarantineReport, StreamOrigin, UsageRow,
+            VersionRecord,
+        },
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -56,6 +59,8 @@
     pub weights: Vec<WeightsNotice>,
     /// Software versions that services had and no longer have.
     pub past_versions: Vec<PastVersion>,
+    /// What the store holds of the versions of services, as far as known.
+    pub version_records: Vec<VersionRecord>,
     /// The KV cache stores that it polls, with their incarnations; `None` for one that doesn't answer.
     pub kept_stores: Vec<(SocketAddr, Option<u64>)>,
     /// Whether it is shutting down.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -402,6 +402,7 @@
             newest_versions: state.replica.newest_versions(),
             weights: state.weights_notices(now()),
             past_versions: state.past_versions(now()),
+            version_records: state.past_versions.records().cloned().collect(),
             kept_stores: state.kept_stores.watched(),
             is_stopping: shared.is_stopping.get(),
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -19,7 +19,7 @@
         gateway::{
             AnnouncedWeights, Backend, BackendTable, CachedParts, Load, Overload, PartUpdate,
             PastVersion, PastVersions, Quarantine, RetryBudget, RoutingTable, SoftwareKey,
-            StreamOrigin, StreamOrigins, UsageOrigin, UsageTable,
+            StreamOrigin, StreamOrigins, UsageOrigin, UsageTable, VersionRecord,
         },
     },
     std::rc::Rc,
@@ -43,6 +43,8 @@
 /// holder that says so.
 const ROLLOUT_STATE_TTL_MS: DurationMs = DurationMs(500);
 
+/// How long a server is avoided while the store doesn't hold its software version: a write that fails once.
+const RECORD_WAIT_MS: DurationMs = DurationMs(2_000);
 /// How many attempts of a caller, each as long as its route permits, a stream may be taken up in.
 const STREAM_ATTEMPTS: u64 = 2;
 
@@ -75,9 +77,12 @@
     pub announced_weights: VecMap<String, Vec<AnnouncedWeights>>,
     /// The state of the KV cache stores.
     pub kept_stores: KeptStoreStates,
-    /// Where streams began, and the versions that services had.
+    /// Whether no gateway had registered in the store when this one did first.
+    pub is_first_gateway: bool,
+    /// Where streams began.
     pub stream_origins: StreamOrigins,
-    past_versions: PastVersions,
+    /// The versions that services had, and what the store holds of them.
+    pub past_versions: PastVersions,
     /// The requests and prompt parts on which servers crash.
     pub quarantine: Quarantine,
     /// The load of services beside what they can answer in time.
@@ -130,8 +135,9 @@
             ),
             announced_weights: VecMap::default(),
             kept_stores: KeptStoreStates::default(),
+            is_first_gateway: false,
             stream_origins: StreamOrigins::default(),
-            past_versions: PastVersions::default(),
+            past_versions: PastVersions::starting_at(now()),
             quarantine: Quarantine::new(gateway_rank(&settings.name, 0), now()),
             overload: Overload::default(),
             decode_heavy_requests: 0,
@@ -316,6 +322,7 @@
                 if let Some(backend) = self.backends.get_mut(worker).filter(|_| was_leaving) {
                     backend.record_leaving();
                 }
+                self.await_record(worker, now);
                 if lost_cache {
                     tracing::info!(backend = row.key, "backend server lost its cached parts");
                     self.cached_parts.remove_worker(worker);
@@ -415,6 +422,9 @@
         self.apply_weights_notices(status.map_or(&[][..], |status| &status.weights), now);
         let past_versions = status.map_or(&[][..], |status| &status.past_versions);
         self.past_versions.apply(past_versions, now);
+        for record in status.map_or(&[][..], |status| &status.version_records) {
+            self.apply_version_record(record.clone(), now);
+        }
         self.apply_stream_origins(&notice.streams, now);
         self.usage.apply(&notice.usage, now);
         for (worker, sample) in &notice.paces {
@@ -698,6 +708,55 @@
         }
     }
 
+    /// Avoids a server, while others take requests, until the store holds its version.
+    fn await_record(&mut self, worker: WorkerId, now: TimeMs) {
+        let Some(backend) = self.backends.get_mut(worker) else {
+            return;
+        };
+        let software = backend.spec.software_key();
+        if self
+            .past_versions
+            .is_unrecorded(&backend.spec.service, software)
+        {
+            backend.unrecorded_until_ms = now.after(RECORD_WAIT_MS);
+        }
+    }
+
+    /// Records all that the store holds of the versions of services in an era.
+    pub fn load_version_records(&mut self, records: Vec<VersionRecord>, era: u64, now: TimeMs) {
+        self.past_versions.forget_records_before(era);
+        for record in records {
+            self.apply_version_record(record, now);
+        }
+    }
+
+    /// Records what the store holds of a service's versions.
+    pub fn apply_version_record(&mut self, record: VersionRecord, now: TimeMs) {
+        let service = record.service.clone();
+        self.past_versions.apply_record(record, now);
+        for backend in self.backends.of_service_mut(&service) {
+            let software = backend.spec.software_key();
+            if !self.past_versions.is_unrecorded(&service, software) {
+                backend.unrecorded_until_ms = TimeMs(0);
+            }
+        }
+    }
+
+    /// The records of versions that must be written to the store in its present era.
+    #[must_use]
+    pub fn due_version_records(&self, era: u64, now: TimeMs) -> Vec<VersionRecord> {
+        let Some(routing) = &self.routing else {
+            return Vec::new();
+        };
+        let lifetime_ms = self.stream_origins.lifetime_ms();
+        let due = routing.resumable_services().into_iter().filter_map(|name| {
+            let listed = self.backends.software(name);
+            self.past_versions
+                .due_record(name, listed, lifetime_ms, era, now)
+        });
+        due.collect()
+    }
+
     /// The software version of a service that has had no other one for as long as streams are taken up;
     /// `None` if it had, or if a newer list of servers may exist.
     #[must_use]
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -31,7 +31,7 @@
 const REGISTER_DELAYS: [Duration; 2] = [JOIN_WAIT, Duration::from_secs(3)];
 /// How long a starting gateway waits for the answers of its seeds before it calls the store: in a
 /// large fleet only a few gateways do.
-const JOIN_WAIT: Duration = Duration::from_millis(200);
+pub const JOIN_WAIT: Duration = Duration::from_millis(200);
 /// How long a gateway of a large fleet waits for a table from its peers before it reads the store
 /// itself.
 const PEER_TABLE_WAIT_MS: DurationMs = DurationMs(1_500);
@@ -107,7 +107,8 @@
     shared.peers.announce(shared);
 }
 
-fn should_register(shared: &Shared) -> bool {
+/// Whether this gateway is one of those that write their own state to the store.
+pub fn should_register(shared: &Shared) -> bool {
     let now = now();
     let state = shared.state.borrow();
     !state.peers.is_large_fleet(now)
@@ -120,6 +121,10 @@
     S: MetadataStore,
 {
     let listed = store.read_table(GATEWAYS_TABLE).await?;
+    if listed.rows.is_empty() {
+        shared.state.borrow_mut().is_first_gateway = true;
+        shared.servers_listed.notify_one();
+    }
     let own_address = shared.settings.peers_address;
     let mut known = None;
     for row in &listed.rows {
@@ -357,6 +362,7 @@
     shared.peers.announce_in_domain(shared);
     if has_effect {
         shared.weights_changed.notify_one();
+        shared.servers_listed.notify_one();
     }
     if shared.state.borrow().has_vanished_backends() {
         ntex::rt::spawn(remove_vanished_backends(Rc::clone(shared)));
