--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -32,8 +32,8 @@
 const STALL_TOLERANCE_PERCENT: u64 = 30;
 /// Prefill time beyond that tolerance from which every stream is late, in percent of that pause.
 const STALL_RANGE_PERCENT: u64 = 47;
-/// Cost of one late stream: two thirds of the value of the stream.
-const LATE_STREAM_COST_MS: u64 = 140;
+/// Cost of one stream that a prompt makes late.
+const LATE_STREAM_COST_MS: u64 = 35;
 /// Cost of one more request in an engine's batch, since each slows down all others.
 const BATCH_COST_MS: u64 = 4;
 /// Cost of each step away from the home engine of the shared parts while an engine lacks some of
@@ -159,17 +159,14 @@
     let nominal = nominal_prefill_ms(Tokens(unshared + shared_prefill), cached);
     let prefill_ms = backend.pace.scale(nominal).0;
     let queued_ms = backend.queue_ms(context.now).0;
-    let busy_ms = queued_ms + prefill_ms;
-    let first_token_ms = busy_ms + fetch_ms;
+    let first_token_ms = queued_ms + prefill_ms + fetch_ms;
     let streams = backend.occupancy(context.now);
     let placement_cost = placement_cost(context, call, engine, steps_from_home, held == shared);
-    // The delay that this prefill causes to streams already running on the engine. The delay to
-    // the request's own stream is added below.
-    let stall_cost = |prefill_ms| stall_cost(prefill_ms, call.event_gap_ms);
-    let other_streams_cost = streams * (stall_cost(busy_ms) - stall_cost(queued_ms));
+    // The delay that this prefill causes to streams already running on the engine. It doesn't depend on the
+    // queue: if prompts cost less behind others, they would gather at busy engines.
+    let other_streams_cost = streams * stall_cost(prefill_ms, call.event_gap_ms);
     let cost = first_token_ms
         + other_streams_cost
-        + stall_cost(busy_ms)
         + recomputed * RECOMPUTE_COST_MS_PER_THOUSAND / 1_000
         + added * CACHE_FILL_COST_MS_PER_THOUSAND / 1_000
         + placement_cost
--- a/core/tests/gateway/load.rs
+++ b/core/tests/gateway/load.rs
@@ -551,6 +551,24 @@
     assert_eq!(choice.worker == home, stays);
 }
 
+/// A burst of long prompts while answers run on all engines: behind a queue that makes these answers late anyway,
+/// a further prompt seemed to cost them nothing, so that prompts gathered at busy engines while others had no queue.
+#[test_case(2; "two engines")]
+#[test_case(18; "18 engines")]
+fn long_prompts_do_not_gather_where_answers_are_late_already(engines: usize) {
+    let mut world = World::with_engines(engines);
+    let prompt = long_prompt(1, 1);
+    let home = world.choose(&prompt, NOW).expect("an engine").worker;
+    for number in 0..engines {
+        world.report_load(number, 4, NOW);
+    }
+    let backend = world.backends.get_mut(home).expect("the home");
+    backend.record_queued(DurationMs(500), NOW);
+    let choice = world.choose(&prompt, NOW).expect("an engine");
+    assert_ne!(choice.worker, home);
+    assert_eq!(choice.queue_ms, DurationMs(0));
+}
+
 /// An engine that is back with new weights is idle, and the decode engines are in use: long answers that
 /// come at entry VMs that know nothing of each other must not all go to it.
 #[test]
