--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -14,9 +14,6 @@
     },
 };
 
-/// Cost of prefilling a thousand shared tokens again that are cached elsewhere, in addition to the
-/// time it takes, since recomputed prompt work is billed.
-const RECOMPUTE_COST_MS_PER_THOUSAND: u64 = 100;
 /// Cost of adding a thousand shared tokens to an engine's cache, fetched or prefilled: they evict
 /// others, which may have to be prefilled again.
 const CACHE_FILL_COST_MS_PER_THOUSAND: u64 = 40;
@@ -60,8 +57,6 @@
 const DECODE_SPREAD_COST_MS: u64 = 20;
 /// Steps from home that are counted. Beyond these, all engines are equivalent.
 const MAX_STEPS: u64 = 4;
-/// Cost of prefilling a long prompt on an engine that serves decode-heavy requests.
-const DECODE_ENGINE_COST_MS: u64 = 90;
 /// Percentage of an engine's slots that decode-heavy requests fill before another engine is used.
 const DECODE_SLOTS_PERCENT: u64 = 45;
 /// Cost of each decode-heavy request above that share of the slots.
@@ -167,7 +162,6 @@
     let other_streams_cost = streams * stall_cost(prefill_ms, call.event_gap_ms);
     let cost = first_token_ms
         + other_streams_cost
-        + recomputed * RECOMPUTE_COST_MS_PER_THOUSAND / 1_000
         + added * CACHE_FILL_COST_MS_PER_THOUSAND / 1_000
         + placement_cost
         + old_weights_cost(weights, call.announced, context.now)
@@ -226,14 +220,9 @@
         )
     } else {
         let distance_cost = if holds_shared_parts { 0 } else { steps_cost };
-        let decode_engine_cost = if engine.is_decode_engine {
-            DECODE_ENGINE_COST_MS
-        } else {
-            0
-        };
         (
             distance_cost,
-            streams * BATCH_COST_MS + decode_engine_cost,
+            streams * BATCH_COST_MS,
             DRAINING_PREFILL_COST_MS,
         )
     };
