--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -30,7 +30,7 @@
 /// Prefill time beyond that tolerance from which every stream is late, in percent of that pause.
 const STALL_RANGE_PERCENT: u64 = 47;
 /// Cost of one stream that a prompt makes late.
-const LATE_STREAM_COST_MS: u64 = 35;
+const LATE_STREAM_COST_MS: u64 = 20;
 /// Cost of one more request in an engine's batch, since each slows down all others.
 const BATCH_COST_MS: u64 = 4;
 /// Cost of each step away from the home engine of the shared parts while an engine lacks some of
