--- a/core/src/gateway/backend.rs
+++ b/core/src/gateway/backend.rs
@@ -110,8 +110,8 @@
     pub draining_until_ms: TimeMs,
     /// The time until which the server rejects new requests because it loads weights.
     pub loading_until_ms: TimeMs,
-    /// The time until which the server's software version is awaited in the platform's store.
-    pub unrecorded_until_ms: TimeMs,
+    /// The software version that was last awaited in the platform's store, and until when.
+    awaited_software: Option<(SoftwareKey, TimeMs)>,
     queued_ms: DurationMs,
     queued_at_ms: TimeMs,
     load: Load,
@@ -137,7 +137,7 @@
             local_prefill_ms: DurationMs(0),
             draining_until_ms: TimeMs(0),
             loading_until_ms: TimeMs(0),
-            unrecorded_until_ms: TimeMs(0),
+            awaited_software: None,
             queued_ms: DurationMs(0),
             queued_at_ms: TimeMs(0),
             load: Load::default(),
@@ -321,7 +321,22 @@
     /// after the loss of all entry VMs.
     #[must_use]
     pub fn takes_requests(&self, now: TimeMs) -> bool {
-        self.is_reachable(now) && now >= self.loading_until_ms && now >= self.unrecorded_until_ms
+        let is_recorded = self.awaited_software.is_none_or(|row| now >= row.1);
+        self.is_reachable(now) && now >= self.loading_until_ms && is_recorded
+    }
+
+    /// Records that the platform's store doesn't hold the server's software version, which is awaited until
+    /// then at the most. An entry VM that isn't told of records waits once for each version.
+    pub fn await_record(&mut self, until_ms: TimeMs) {
+        let software = self.spec.software_key();
+        if self.awaited_software.is_none_or(|row| row.0 != software) {
+            self.awaited_software = Some((software, until_ms));
+        }
+    }
+
+    /// Records that the platform's store holds the server's software version.
+    pub fn record_recorded(&mut self) {
+        self.awaited_software = Some((self.spec.software_key(), TimeMs(0)));
     }
 
     /// The decaying rate of failed requests, from 0 to [`MAX_FAILURE_PERMILLE`].
--- a/core/tests/gateway/past_versions.rs
+++ b/core/tests/gateway/past_versions.rs
@@ -3,8 +3,10 @@
 
 use {
     cactusspur_core::{
-        DurationMs, TimeMs,
-        gateway::{PastVersions, SoftwareKey, VersionRecord},
+        DurationMs, TimeMs, WeightsVersion, WorkerId,
+        gateway::{
+            BackendSpec, BackendTable, PastVersions, SoftwareKey, SoftwareVersion, VersionRecord,
+        },
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
     test_case::test_case,
@@ -243,3 +245,32 @@
         );
     }
 }
+
+/// A gateway of a large fleet may never hear that a version was recorded. It avoided the servers of that version
+/// anew with each change of their rows, such as new weights.
+#[test]
+fn a_version_is_awaited_once() {
+    let spec = |weights, software: &str| BackendSpec {
+        instance: "engine".to_owned(),
+        started_at_ms: 1,
+        service: SERVICE.to_owned(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        domain: "north".to_owned(),
+        slots: 8,
+        is_ready: true,
+        weights: vec![("model".to_owned(), WeightsVersion(weights))],
+        software: Some(SoftwareVersion(software.to_owned())),
+    };
+    let worker = WorkerId::from_name("engine");
+    let mut table = BackendTable::default();
+    let mut takes_requests = |weights, software, now_ms| {
+        table.upsert(spec(weights, software));
+        let backend = table.get_mut(worker).expect("a server");
+        backend.await_record(TimeMs(now_ms + RECORD_WAIT_MS));
+        backend.takes_requests(TimeMs(now_ms))
+    };
+    assert!(!takes_requests(1, "v2", 10_000));
+    assert!(!takes_requests(2, "v2", 10_000 + RECORD_WAIT_MS - 1));
+    assert!(takes_requests(3, "v2", 10_000 + RECORD_WAIT_MS));
+    assert!(!takes_requests(3, "v3", 20_000));
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -718,7 +718,7 @@
             .past_versions
             .is_unrecorded(&backend.spec.service, software)
         {
-            backend.unrecorded_until_ms = now.after(RECORD_WAIT_MS);
+            backend.await_record(now.after(RECORD_WAIT_MS));
         }
     }
 
@@ -737,7 +737,7 @@
         for backend in self.backends.of_service_mut(&service) {
             let software = backend.spec.software_key();
             if !self.past_versions.is_unrecorded(&service, software) {
-                backend.unrecorded_until_ms = TimeMs(0);
+                backend.record_recorded();
             }
         }
     }
