Refuse in a shutdown what may outlast the process

Cause: a gateway closes connections 3 s after the signal, served first requests on them for 200 ms more, and ended all requests 500 ms before the end of the grace period. Nothing compared what a request may take with what was left: 4.3 to 4.5 s, and routes permit 15 s. The margin of the end was also the same for any grace period, so that it began before the last sixth of one under 3 s.

Change: ShutdownSchedule holds the times of a shutdown. Up to 2.8 s after the signal requests are taken as before, since most end soon and a refusal costs a caller a repeat; 0.2 s before the promise begins, since a busy process notices the signal late. After that a request is taken only if its deadline comes before the end of the process, judged when its head is read and again when its body has been read. The others are refused at once as not run, with Retry-After 0: another gateway takes them. The unready time and the margin shrink with a short grace period.

--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -19,6 +19,7 @@
 pub mod rollout;
 pub mod routing;
 pub mod send_limit;
+pub mod shutdown;
 pub mod stream_origin;
 pub mod usage;
 
@@ -51,6 +52,7 @@
         CallKind, CallerLimits, CustomerSpec, KeptStore, Route, RoutingTable, ServiceSpec, Split,
     },
     send_limit::{LimitShare, RequestRate, RequestRateError, SendLimit},
+    shutdown::ShutdownSchedule,
     stream_origin::{SoftwareKey, StreamKey, StreamOrigin, StreamOrigins},
     usage::{
         Charge, Fleet, OverCap, UsageCap, UsageLimits, UsageOrigin, UsageRequest, UsageRow,
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -14,5 +14,6 @@
 mod queue_model;
 mod rollout;
 mod routing;
+mod shutdown;
 mod stream_origin;
 mod usage;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -41,8 +41,8 @@
         state::GatewayState, store::MetadataStore,
     },
     cactusspur_core::{
-        DurationMs, TimeMs,
-        gateway::{RetryBudgetLimits, UsageLimits},
+        DurationMs,
+        gateway::{RetryBudgetLimits, ShutdownSchedule, UsageLimits},
     },
     derive_more::Display,
     error_stack::Report,
@@ -111,10 +111,8 @@
     pub state: RefCell<GatewayState>,
     /// The communication with other gateways.
     pub peers: PeerGroup,
-    /// Whether the gateway is shutting down.
-    pub is_stopping: Cell<bool>,
-    /// When the gateway began to close connections, in a shutdown.
-    pub closing_since_ms: Cell<Option<TimeMs>>,
+    /// The times of the shutdown; `None` before it begins.
+    pub shutdown: Cell<Option<ShutdownSchedule>>,
     /// Whether the gateway holds the order lease and is rolling out weights.
     pub is_rolling_out: Cell<bool>,
     /// Notified when the store has returned from a backup.
@@ -134,19 +132,20 @@
 }
 
 impl Shared {
+    /// Whether the gateway is shutting down.
+    #[must_use]
+    pub const fn is_stopping(&self) -> bool {
+        self.shutdown.get().is_some()
+    }
+
     /// Whether the gateway can serve requests: its tables are loaded, it has a configuration and it
     /// isn't shutting down.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping.get() && self.state.borrow().is_complete()
+        !self.is_stopping() && self.state.borrow().is_complete()
     }
 }
 
-/// How long connections are still accepted after readiness checks begin to fail, so that the load
-/// balancer notices: two failed checks at one per second, and a second for the transmission.
-const UNREADY_DELAY: Duration = Duration::from_secs(3);
-/// How long before the end of the grace period the remaining requests are aborted.
-const GRACE_MARGIN_MS: DurationMs = DurationMs(500);
 /// How often open connections are counted during shutdown.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 
@@ -177,8 +176,7 @@
             connection_pool: ConnectionPool::new(),
             state: RefCell::new(state),
             peers,
-            is_stopping: Cell::new(false),
-            closing_since_ms: Cell::new(None),
+            shutdown: Cell::new(None),
             is_rolling_out: Cell::new(false),
             store_restored: Notify::new(),
             store_answers: Notify::new(),
@@ -205,19 +203,19 @@
     /// open and no rollout is running, or shortly before the end of the grace period.
     pub async fn shut_down(&self) {
         let started_at_ms = now();
-        self.shared.is_stopping.set(true);
+        let grace_ms = self.shared.settings.grace_ms;
+        let schedule = ShutdownSchedule::new(grace_ms, started_at_ms);
+        self.shared.shutdown.set(Some(schedule));
         self.shared.state.borrow_mut().peers.set_stopping();
         self.shared.peers.announce(&self.shared);
-        let grace_ms = self.shared.settings.grace_ms;
         tracing::info!(grace_ms = grace_ms.0, "shutting down");
-        sleep(UNREADY_DELAY).await;
-        self.shared.closing_since_ms.set(Some(now()));
+        let unready_ms = schedule.closes_at_ms().since(started_at_ms);
+        sleep(Duration::from_millis(unready_ms.0)).await;
         self.server.stop_accepting();
-        let limit_ms = grace_ms.saturating_sub(GRACE_MARGIN_MS);
         loop {
             sleep(DRAIN_POLL_PERIOD).await;
             let is_idle = self.server.open_connections() == 0 && !self.shared.is_rolling_out.get();
-            if is_idle || now().since(started_at_ms) >= limit_ms {
+            if is_idle || now() >= schedule.ends_at_ms() {
                 break;
             }
         }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -115,6 +115,14 @@
     Ok((route.clone(), customer.cloned()))
 }
 
+/// How long a request may take until its answer is complete: what its caller waits, and no longer than the
+/// route permits.
+#[must_use]
+pub fn time_limit_ms(head: &RequestHead, route: &Route) -> DurationMs {
+    let caller_wait_ms = head.deadline_ms.unwrap_or(route.timeout_ms);
+    caller_wait_ms.min(route.timeout_ms)
+}
+
 impl Call {
     /// A call for a request that was admitted. `digest_secret` is that of [`RequestDigest::new`]; `random` selects the service among the route's splits
     /// and breaks ties between servers.
@@ -156,7 +164,7 @@
         Self {
             service,
             arrived_at_ms: received_at_ms,
-            answer_by_ms: received_at_ms.after(caller_wait_ms.min(route.timeout_ms)),
+            answer_by_ms: received_at_ms.after(time_limit_ms(&head, &route)),
             caller_deadline_ms: received_at_ms.after(caller_wait_ms),
             route: Rc::new(route),
             routing,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -3,7 +3,10 @@
 use {
     super::{
         Shared,
-        call::{AdmissionError, AttemptFailure, Call, InFlightRequest, ReceivedRequest, admit},
+        call::{
+            AdmissionError, AttemptFailure, Call, InFlightRequest, ReceivedRequest, admit,
+            time_limit_ms,
+        },
         clock::now,
         link::{ExchangeFailure, UnreadResponse},
         overload,
@@ -14,7 +17,7 @@
     },
     bytes::Bytes,
     cactusspur_core::{
-        Cause, DurationMs, Refusal, Verdict, WorkerId,
+        Cause, DurationMs, Refusal, TimeMs, Verdict, WorkerId,
         gateway::{Admission, CallKind, Choice, retry_after},
     },
     http::{Request, Response, StatusCode, header, response::Parts},
@@ -27,9 +30,6 @@
 /// `Retry-After` of an entry VM that has no configuration yet: about the time that it takes to load
 /// one.
 const NOT_READY_RETRY_AFTER_MS: DurationMs = DurationMs(400);
-/// How long after connections are closed in a shutdown a first request on one is still served. A later
-/// one might not end within the grace period.
-const LATE_REQUEST_MS: DurationMs = DurationMs(200);
 /// The largest body of a response that isn't streamed, in bytes.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 4 * 1_024 * 1_024;
 /// Failed connection attempts that are permitted for one request. They don't count as sends.
@@ -51,20 +51,6 @@
             return response::empty(StatusCode::BAD_REQUEST);
         }
     };
-    let closing_since_ms = shared.closing_since_ms.get();
-    if closing_since_ms.is_some_and(|at_ms| received_at_ms.since(at_ms) > LATE_REQUEST_MS) {
-        let refusal = Refusal {
-            verdict: Verdict::NotRun,
-            cause: Cause::ShuttingDown,
-            retry_after_ms: DurationMs(0),
-        };
-        return refuse(
-            &head.request_id,
-            "",
-            &refusal,
-            "the gateway is shutting down",
-        );
-    }
     let Some(routing) = ready_routing(&shared) else {
         let refusal = Refusal {
             verdict: Verdict::NotRun,
@@ -75,8 +61,14 @@
     };
     // Checked before the body is read, and again after it, since reading may take long and the
     // configuration may change in the meantime.
-    if let Err(error) = admit(&routing, &parts, &head) {
-        return reject(&shared, error, &head.request_id, &parts, routing.version);
+    match admit(&routing, &parts, &head) {
+        Ok((route, _)) => {
+            let answer_by_ms = received_at_ms.after(time_limit_ms(&head, &route));
+            if !takes_until(&shared, answer_by_ms) {
+                return refuse_shutting_down(&head.request_id, &route.name);
+            }
+        }
+        Err(error) => return reject(&shared, error, &head.request_id, &parts, routing.version),
     }
     let body = match read_body(body, routing.limits.max_body_bytes).await {
         Ok(body) => body,
@@ -104,6 +96,9 @@
         &shared.settings.shared_key,
         rand::random(),
     ));
+    if !takes_until(&shared, call.answer_by_ms) {
+        return refuse_shutting_down(&call.head.request_id, &call.route.name);
+    }
     shared
         .state
         .borrow_mut()
@@ -142,6 +137,24 @@
     response
 }
 
+/// Whether a request is taken that must be answered by a time: not if the process may end before.
+fn takes_until(shared: &Shared, answer_by_ms: TimeMs) -> bool {
+    let shutdown = shared.shutdown.get();
+    shutdown.is_none_or(|schedule| schedule.takes(answer_by_ms, now()))
+}
+
+/// Refuses a request that might not end before the process does. Other gateways take it at once.
+fn refuse_shutting_down(request: &str, route: &str) -> Response<ResponseBody> {
+    metrics::counter!("cactusspur_requests_refused_in_shutdown_total").increment(1);
+    let refusal = Refusal {
+        verdict: Verdict::NotRun,
+        cause: Cause::ShuttingDown,
+        retry_after_ms: DurationMs(0),
+    };
+    let why = "the request may outlast the gateway, which is shutting down";
+    refuse(request, route, &refusal, why)
+}
+
 /// The configuration in force; `None` until all tables are loaded.
 pub(super) fn ready_routing(shared: &Shared) -> Option<Rc<cactusspur_core::gateway::RoutingTable>> {
     let state = shared.state.borrow();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -404,7 +404,7 @@
             past_versions: state.past_versions(now()),
             version_records: state.past_versions.records().cloned().collect(),
             kept_stores: state.kept_stores.watched(),
-            is_stopping: shared.is_stopping.get(),
+            is_stopping: shared.is_stopping(),
         }
     }
 
@@ -509,7 +509,7 @@
             name: self.name.clone(),
             age_ms: DurationMs(0),
             store_age_ms,
-            is_stopping: shared.is_stopping.get(),
+            is_stopping: shared.is_stopping(),
         }
     }
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -132,7 +132,7 @@
         let shared = Rc::clone(&shared);
         async move {
             let mut response = forward::serve(Rc::clone(&shared), request).await;
-            if shared.is_stopping.get() {
+            if shared.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -123,7 +123,7 @@
         Self {
             name: shared.settings.name.clone(),
             domain: shared.settings.domain.clone(),
-            is_stopping: shared.is_stopping.get(),
+            is_stopping: shared.is_stopping(),
             is_rolling_out: shared.is_rolling_out.get(),
             configuration: state.routing.as_ref().map(|routing| routing.version),
             store_age_ms: state.store_age_ms(now),
--- a/src/gateway/weights.rs
+++ b/src/gateway/weights.rs
@@ -60,7 +60,7 @@
         while let Some(model) = next_model(&shared) {
             // During shutdown the holder continues, since another gateway would have to wait for
             // the end of its term. A gateway that isn't the holder stops here.
-            if shared.is_stopping.get() && !was_holder {
+            if shared.is_stopping() && !was_holder {
                 return;
             }
             if !was_holder {
