Begin a new common cache scope when the set of isolated customers changes

Cause: the cache salt of all customers that aren't isolated was made of model and weights only. A customer that became isolated got a salt of its own, but what it had read lay under the common one, and no event or list of an engine tells whose request read a part. The same for what is sent later than it was admitted: a stream that was resumed after the change took its customer from the configuration of its admission.

Change: the common scope contains a hash of the names of all isolated customers. It follows from the configuration alone, so that gateways agree without messages, also after restarts and skipped versions: a part under it was read by a customer outside that set and is used by customers outside the same set. Without isolated customers scopes are as before. The group is looked up in the configuration in force at each choice, by the customer's name; a customer that it lacks shares with nobody. The choice carries the scope, so that what is believed of caches is what was sent. Customers are sorted and found by binary search.

What it costs: others read the shared parts once more.

--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -28,8 +28,8 @@
     backend::{Backend, BackendSpec, BackendTable, Load, SoftwareVersion},
     budget::{RetryBudget, RetryBudgetLimits},
     cached::{
-        CacheScope, CachedParts, PartState, PartUpdate, PromptPart, hash_prefixes,
-        rendezvous_score, shared_keys,
+        CacheGroup, CacheScope, CachedParts, IsolatedSet, PartState, PartUpdate, PromptPart,
+        hash_prefixes, rendezvous_score, shared_keys,
     },
     choice::{
         AnnouncedWeights, Choice, ChoiceContext, Fetch, ModelCall, choose_model, choose_plain,
--- a/core/src/gateway/cached.rs
+++ b/core/src/gateway/cached.rs
@@ -38,20 +38,68 @@
     pub tokens: Tokens,
 }
 
+/// The customers that are isolated: a hash of their names, the same in all entry VMs.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    From,
+    FromStr,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+pub struct IsolatedSet(pub u64);
+
+impl IsolatedSet {
+    /// The set of customers with these names, in any order.
+    #[must_use]
+    pub fn new<'a, I>(names: I) -> Self
+    where
+        I: IntoIterator<Item = &'a str>,
+    {
+        let mut names: Vec<&str> = names.into_iter().collect();
+        names.sort_unstable();
+        names.dedup();
+        let add = |set, name: &&str| xxh3_64_with_seed(name.as_bytes(), set);
+        Self(names.iter().fold(Self::default().0, add))
+    }
+}
+
+/// The customers that share cached work with one another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CacheGroup<'a> {
+    /// All that aren't isolated, while the given ones are. A customer that becomes isolated leaves cached
+    /// parts behind, which nobody knows from those of others, so that the rest begin anew.
+    Common(IsolatedSet),
+    /// One isolated customer, by its name.
+    Isolated(&'a str),
+}
+
 /// A hash of everything that two requests must have in common to share cached work: the model,
-/// its weights and, for an isolated customer, the customer.
+/// its weights and the group of their customers.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From, FromStr, Into,
 )]
 pub struct CacheScope(pub u64);
 
 impl CacheScope {
-    /// The scope of requests to a model. `isolated_customer` is the customer's name if the
-    /// customer is isolated.
+    /// The scope of requests of a group to a model.
     #[must_use]
-    pub fn new(model: &str, weights: WeightsVersion, isolated_customer: Option<&str>) -> Self {
+    pub fn new(model: &str, weights: WeightsVersion, group: CacheGroup<'_>) -> Self {
         let seed = xxh3_64_with_seed(model.as_bytes(), weights.0);
-        Self(isolated_customer.map_or(seed, |name| xxh3_64_with_seed(name.as_bytes(), !seed)))
+        Self(match group {
+            CacheGroup::Common(IsolatedSet(0)) => seed,
+            CacheGroup::Common(isolated) => xxh3_64_with_seed(&isolated.0.to_le_bytes(), seed),
+            CacheGroup::Isolated(name) => xxh3_64_with_seed(name.as_bytes(), !seed),
+        })
     }
 }
 
--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         backend::{Backend, BackendTable, MAX_FAILURE_PERMILLE},
-        cached::{CachedParts, PromptPart, rendezvous_score},
+        cached::{CacheGroup, CacheScope, CachedParts, PromptPart, rendezvous_score},
         explanation::{Exclusion, wait_exclusion},
         pace::CHUNK_TOKENS,
         prediction::{Candidate, decode_slots, is_permitted, predict, save_target},
@@ -77,6 +77,8 @@
     pub steps_from_home: u64,
     /// The weights version that the request runs on; `None` for a plain service.
     pub weights: Option<WeightsVersion>,
+    /// The scope of the cached parts that the request uses and makes; `None` for a plain service.
+    pub cache_scope: Option<CacheScope>,
     /// The predicted time to the first token.
     pub first_token_ms: DurationMs,
     /// The time after which the request may no longer start, since the grace period of its
@@ -122,8 +124,8 @@
 pub struct ModelCall<'a> {
     /// The model's name.
     pub model: &'a str,
-    /// The customer's name if the customer shares no cached prompt work; `None` otherwise.
-    pub isolated_customer: Option<&'a str>,
+    /// The customers with which the request shares cached prompt work.
+    pub group: CacheGroup<'a>,
     /// The parts of the prompt. The last one belongs to this request only.
     pub parts: &'a [PromptPart],
     /// The decode-heavy requests in progress over all entry VMs, as known to this one.
@@ -169,6 +171,7 @@
         recomputed_tokens: Tokens(0),
         steps_from_home: 0,
         weights: None,
+        cache_scope: None,
         first_token_ms: DurationMs(0),
         limit_ms: None,
     })
--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -104,9 +104,12 @@
 }
 
 impl ModelCall<'_> {
+    fn cache_scope(&self, weights: WeightsVersion) -> CacheScope {
+        CacheScope::new(self.model, weights, self.group)
+    }
+
     pub(super) fn shared_keys(&self, weights: WeightsVersion) -> Vec<u64> {
-        let scope = CacheScope::new(self.model, weights, self.isolated_customer);
-        shared_keys(scope, self.prefix_hashes).collect()
+        shared_keys(self.cache_scope(weights), self.prefix_hashes).collect()
     }
 }
 
@@ -181,6 +184,7 @@
         recomputed_tokens: Tokens(recomputed),
         steps_from_home,
         weights: Some(weights),
+        cache_scope: Some(call.cache_scope(weights)),
         first_token_ms: DurationMs(first_token_ms),
         limit_ms: outdated_since_and_grace(weights, call.announced, context.now).map(
             |(age, grace)| {
--- a/core/src/gateway/routing.rs
+++ b/core/src/gateway/routing.rs
@@ -1,7 +1,10 @@
 //! Maps requests to routes, services and customers, with the limits that apply.
 
 use {
-    super::usage::UsageCap,
+    super::{
+        cached::{CacheGroup, IsolatedSet},
+        usage::UsageCap,
+    },
     crate::{id::WorkerId, unit::DurationMs},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -170,6 +173,7 @@
     routes: Vec<Route>,
     services: Vec<ServiceSpec>,
     customers: Vec<CustomerSpec>,
+    isolated: IsolatedSet,
     keys: Vec<(String, usize)>,
     /// The limits on callers.
     pub limits: CallerLimits,
@@ -182,7 +186,7 @@
         version: u64,
         mut routes: Vec<Route>,
         mut services: Vec<ServiceSpec>,
-        customers: Vec<CustomerSpec>,
+        mut customers: Vec<CustomerSpec>,
         limits: CallerLimits,
     ) -> Self {
         // Sorted by descending prefix length within a host, so that the first match is the longest.
@@ -191,17 +195,21 @@
             a.host.cmp(&b.host).then(by_length)
         });
         services.sort_by(|a, b| a.name.cmp(&b.name));
+        customers.sort_by(|a, b| a.name.cmp(&b.name));
         let mut keys: Vec<(String, usize)> = customers
             .iter()
             .enumerate()
             .flat_map(|(row, customer)| customer.keys.iter().map(move |key| (key.clone(), row)))
             .collect();
         keys.sort();
+        let isolated = customers.iter().filter(|customer| customer.isolated);
+        let isolated = IsolatedSet::new(isolated.map(|customer| customer.name.as_str()));
         Self {
             version,
             routes,
             services,
             customers,
+            isolated,
             keys,
             limits,
         }
@@ -267,7 +275,21 @@
     /// The customer with this name.
     #[must_use]
     pub fn customer_named(&self, name: &str) -> Option<&CustomerSpec> {
-        self.customers.iter().find(|customer| customer.name == name)
+        let found = self
+            .customers
+            .binary_search_by(|customer| customer.name.as_str().cmp(name));
+        found.ok().map(|index| &self.customers[index])
+    }
+
+    /// The customers with which the one of this name shares cached work; `None` stands for callers without a
+    /// customer. One that the configuration lacks, since it was removed, shares with nobody.
+    #[must_use]
+    pub fn cache_group<'a>(&self, customer: Option<&'a str>) -> CacheGroup<'a> {
+        let is_isolated = |name| self.customer_named(name).is_none_or(|found| found.isolated);
+        match customer.filter(|name| is_isolated(name)) {
+            Some(name) => CacheGroup::Isolated(name),
+            None => CacheGroup::Common(self.isolated),
+        }
     }
 
     /// All customers.
--- a/core/tests/gateway/cached.rs
+++ b/core/tests/gateway/cached.rs
@@ -1,7 +1,7 @@
 //! Cached parts are never shared across isolated customers, weights versions or restarts.
 
 use {
-    crate::fixture::{DOMAIN, NOW, World, long_prompt, shared_keys, spec, worker},
+    crate::fixture::{DOMAIN, NOW, World, group, long_prompt, shared_keys, spec, worker},
     cactusspur_core::{
         DurationMs, TimeMs, WeightsVersion,
         gateway::{CacheScope, CachedParts, Fetch, PartState, PartUpdate},
@@ -17,8 +17,8 @@
     let other = shared_keys(&prompt, weights, isolated_customer);
     assert!(shared.iter().all(|key| !other.contains(key)));
     assert_ne!(
-        CacheScope::new("model", WeightsVersion(1), None),
-        CacheScope::new("model", WeightsVersion(weights), isolated_customer)
+        CacheScope::new("model", WeightsVersion(1), group(None)),
+        CacheScope::new("model", WeightsVersion(weights), group(isolated_customer))
     );
 }
 
--- a/core/tests/gateway/fixture.rs
+++ b/core/tests/gateway/fixture.rs
@@ -4,10 +4,10 @@
     cactusspur_core::{
         DurationMs, TimeMs, Tokens, WeightsVersion, WorkerId,
         gateway::{
-            self, AnnouncedWeights, BackendSpec, BackendTable, CacheScope, CachedParts, Choice,
-            ChoiceContext, KeptStore, Load, ModelCall, PartState, PartUpdate, PromptPart,
-            ServerStanding, ServiceSpec, choose_model, choose_plain, explain_model, explain_plain,
-            hash_prefixes,
+            self, AnnouncedWeights, BackendSpec, BackendTable, CacheGroup, CacheScope, CachedParts,
+            Choice, ChoiceContext, IsolatedSet, KeptStore, Load, ModelCall, PartState, PartUpdate,
+            PromptPart, ServerStanding, ServiceSpec, choose_model, choose_plain, explain_model,
+            explain_plain, hash_prefixes,
         },
     },
     std::net::SocketAddr,
@@ -183,7 +183,7 @@
         let stores: Vec<&KeptStore> = self.kept_stores.iter().collect();
         let call = ModelCall {
             model: MODEL,
-            isolated_customer,
+            group: group(isolated_customer),
             parts: &prompt.parts,
             decode_heavy_requests: self.decode_heavy_requests,
             random: self.random,
@@ -255,9 +255,15 @@
     }
 }
 
+/// The group of an isolated customer, or of all others while nobody is isolated.
+pub fn group(isolated_customer: Option<&str>) -> CacheGroup<'_> {
+    let common = CacheGroup::Common(IsolatedSet::default());
+    isolated_customer.map_or(common, CacheGroup::Isolated)
+}
+
 /// The keys of the shared parts of a prompt.
 pub fn shared_keys(prompt: &Prompt, weights: u64, isolated_customer: Option<&str>) -> Vec<u64> {
-    let scope = CacheScope::new(MODEL, WeightsVersion(weights), isolated_customer);
+    let scope = CacheScope::new(MODEL, WeightsVersion(weights), group(isolated_customer));
     let prefix_hashes = hash_prefixes(&prompt.parts);
     gateway::shared_keys(scope, &prefix_hashes).collect()
 }
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod cached;
 mod explanation;
 mod fixture;
+mod isolation;
 mod load;
 mod overload;
 mod pace;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -7,14 +7,14 @@
         overload::AwaitedToken,
         protocol::{ForwardHead, ModelForwardHead, RequestHead},
         quarantine::Trial,
-        state::SentTo,
+        state::{GatewayState, SentTo},
         usage::UsageMeter,
     },
     bytes::Bytes,
     cactusspur_core::{
         DurationMs, TimeMs, Verdict, WorkerId,
         gateway::{
-            CacheScope, CallKind, Choice, ChoiceContext, CustomerSpec, Fetch, KeptStore, ModelCall,
+            CacheGroup, CallKind, Choice, ChoiceContext, CustomerSpec, Fetch, KeptStore, ModelCall,
             Pace, PartState, PartUpdate, RequestContent, RequestDigest, RequestIdentity, Route,
             RoutingTable, ServerStanding, ServiceSpec, SoftwareKey, StreamKey, choose_model,
             choose_plain, explain_model, explain_plain, hash_prefixes, shared_keys, shared_parts,
@@ -376,7 +376,7 @@
                         + state.peers.decode_heavy_requests(now()),
                     random: self.random,
                     model: &prompt.model,
-                    isolated_customer: self.isolated_customer(),
+                    group: self.cache_group(&state),
                     parts: &prompt.parts,
                     max_answer_tokens: prompt.max_answer_tokens,
                     target_ms: self.route.target_ms,
@@ -403,13 +403,12 @@
         let state = shared.state.borrow();
         let spec = &state.backends.get(choice.worker)?.spec;
         let address = spec.address;
-        let model = self.head.prompt.as_ref().and_then(|prompt| {
+        let model = self.head.prompt.as_ref().and_then(|_| {
             let weights = choice.weights?;
             let engine = |worker| state.backends.get(worker).map(|b| b.spec.address);
             let store = |id| self.kept_store(id).map(|store| store.address);
             Some(ModelForwardHead {
-                cache_scope: CacheScope::new(&prompt.model, weights, self.isolated_customer())
-                    .to_string(),
+                cache_scope: choice.cache_scope?.to_string(),
                 weights,
                 priority: if self.goes_last() {
                     MAX_PRIORITY
@@ -446,10 +445,9 @@
     /// Records that the chosen server prefills the shared parts of the prompt, or has done so, and
     /// announces what is new to peers.
     pub fn record_parts(&self, shared: &Rc<Shared>, choice: &Choice, is_prefilled: bool) {
-        let (Some(prompt), Some(weights)) = (&self.head.prompt, choice.weights) else {
+        let Some(scope) = choice.cache_scope else {
             return;
         };
-        let scope = CacheScope::new(&prompt.model, weights, self.isolated_customer());
         let state = if is_prefilled {
             PartState::Cached
         } else {
@@ -487,10 +485,12 @@
         self.routing.kept_stores().find(|store| store.id == id)
     }
 
-    /// The customer's name, if its cached prompt parts must not be shared with other customers.
-    fn isolated_customer(&self) -> Option<&str> {
-        let customer = self.customer.as_ref()?;
-        customer.isolated.then_some(customer.name.as_str())
+    /// The customers with which the request shares cached prompt parts. The configuration may have changed
+    /// since the request was admitted, and what it isolates holds for all that is sent from now on.
+    fn cache_group(&self, state: &GatewayState) -> CacheGroup<'_> {
+        let routing = state.routing.as_ref().unwrap_or(&self.routing);
+        let customer = self.customer.as_ref();
+        routing.cache_group(customer.map(|customer| customer.name.as_str()))
     }
 
     /// The customer's priority, or else the route's, limited to the supported range.
