--- a/core/src/gateway/shutdown.rs
+++ b/core/src/gateway/shutdown.rs
@@ -20,6 +20,7 @@
 
 /// The times of a shutdown, from the signal to the end of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
 pub struct ShutdownSchedule {
     unbounded_until_ms: TimeMs,
     closes_at_ms: TimeMs,
