Send the whole table to a gateway whose version is from before the last whole read

Cause: a gateway that has just started reads a table as a whole: it learns what there is, not what was removed before. It answered a pull with its rows above the version of the gateway that asked, and with its own head, as if these were all changes. The other one took the head and never heard of the removal again, from the store or from anyone. The same after the store had cut its history short, and for every table.

Change: a copy knows since which version it has all changes. A whole read sets it, from the store to the version read, from a peer to that of the peer's newest change. A peer that asks from before it gets the whole table, in which what is missing is removed. TableCopy has a field more, so that gateways of earlier builds can't decode a pull: they read the store themselves.

tests/store_era.rs: a_peer_of_another_era_is_sent_the_whole_table asserts as before; its copies now are those of a peer whose newest change is that of the newest row, so that changes since a later version are complete. With a copy that was read from the store as a whole the old assertion described the fault.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -894,7 +894,7 @@
     peer_versions: &[(String, StoreVersion)],
     wait: Duration,
 ) {
-    if !is_behind(&shared.state.borrow().replica.heads(), peer_versions) {
+    if !shared.state.borrow().replica.is_behind(peer_versions) {
         return;
     }
     ntex::rt::spawn(pull_if_still_behind(
@@ -905,16 +905,6 @@
     ));
 }
 
-fn is_behind(
-    local_heads: &[(String, StoreVersion)],
-    peer_versions: &[(String, StoreVersion)],
-) -> bool {
-    peer_versions.iter().any(|(table, version)| {
-        let known = local_heads.iter().find(|row| row.0 == *table);
-        known.is_none_or(|row| row.1 < *version)
-    })
-}
-
 async fn pull_if_still_behind(
     shared: Rc<Shared>,
     address: SocketAddr,
@@ -922,7 +912,7 @@
     wait: Duration,
 ) {
     sleep(wait).await;
-    let still_behind = is_behind(&shared.state.borrow().replica.heads(), &peer_versions);
+    let still_behind = shared.state.borrow().replica.is_behind(&peer_versions);
     if still_behind {
         shared.peers.pull(&shared, address).await;
     }
--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -41,6 +41,9 @@
     pub name: String,
     /// The store's version up to which the copy is complete.
     pub head: StoreVersion,
+    /// The version since which the sender knows all changes, removed rows included: at most `head`. A table
+    /// that was read as a whole tells what there is, and not what was removed before.
+    pub complete_since: StoreVersion,
     /// All rows, or those that have changed since a version known to the receiver.
     pub rows: Vec<StoredRow>,
     /// Whether the copy has all rows, so that others don't exist.
@@ -60,9 +63,20 @@
 #[derive(Debug, Default)]
 struct LocalTable {
     head: Option<StoreVersion>,
+    /// The version since which all changes are known, removed rows included.
+    complete_since: StoreVersion,
     rows: VecMap<String, StoredRow>,
 }
 
+impl LocalTable {
+    /// The version of the newest change: of a row, or of one that may have been removed before the table was
+    /// read.
+    fn newest_version(&self) -> StoreVersion {
+        let versions = self.rows.iter().map(|row| row.1.version);
+        versions.fold(self.complete_since, StoreVersion::max)
+    }
+}
+
 /// Copies of the tables that a gateway watches.
 #[derive(Debug, Default)]
 pub struct Replica {
@@ -124,12 +138,11 @@
     /// Merges a snapshot of a whole table. Rows that the snapshot lacks become removed rows, unless
     /// they are newer than it. Returns the changes, and nothing if the snapshot is outdated.
     pub fn replace(&mut self, snapshot: TableCopy) -> Vec<StoredRow> {
-        if self
-            .head(&snapshot.name)
-            .is_some_and(|head| head > snapshot.head)
-        {
+        let known = self.head(&snapshot.name);
+        if known.is_some_and(|head| head > snapshot.head) {
             return Vec::new();
         }
+        let complete_since = snapshot.complete_since;
         let mut rows = snapshot.rows;
         rows.sort_by(|a, b| a.key.cmp(&b.key));
         if let Some(local) = self.tables.get(&snapshot.name) {
@@ -143,17 +156,23 @@
                 })
                 .map(|(key, _)| StoredRow {
                     key: key.clone(),
-                    version: snapshot.head,
+                    version: complete_since,
                     value: None,
                 })
                 .collect();
             rows.extend(removed);
         }
-        self.merge(&snapshot.name, rows, snapshot.head)
+        let new_rows = self.merge(&snapshot.name, rows, snapshot.head);
+        if known.is_none_or(|head| head < complete_since)
+            && let Some(local) = self.tables.get_mut(&snapshot.name)
+        {
+            local.complete_since = complete_since;
+        }
+        new_rows
     }
 
     /// Returns the changes of all tables since the versions up to which a peer knows them, including
-    /// removed rows.
+    /// removed rows. A table is returned as a whole if not all changes since then are known here.
     #[must_use]
     pub fn changes_since(&self, known: &[(String, StoreVersion)]) -> Vec<TableCopy> {
         self.tables
@@ -161,11 +180,14 @@
             .filter_map(|(name, local)| {
                 let head = local.head?;
                 let after = known.iter().find(|row| row.0 == *name);
-                let after = after.map(|row| row.1).filter(|after| after.era == head.era);
+                let after = after
+                    .map(|row| row.1)
+                    .filter(|after| after.era == head.era && *after >= local.complete_since);
                 let rows = local.rows.iter().map(|row| row.1);
                 Some(TableCopy {
                     name: name.clone(),
                     head,
+                    complete_since: local.newest_version(),
                     rows: rows
                         .filter(|row| after.is_none_or(|after| row.version > after))
                         .cloned()
@@ -199,8 +221,8 @@
         tables.filter(|(_, local)| local.head.is_some()).count()
     }
 
-    /// The version of the newest row of each table. Unlike heads, which advance with each poll, these
-    /// are equal in copies with the same contents.
+    /// The version of the newest change of each table. Unlike heads, which advance with each poll, these
+    /// become equal in copies with the same contents.
     #[must_use]
     pub fn newest_versions(&self) -> Vec<(String, StoreVersion)> {
         self.tables
@@ -212,4 +234,13 @@
             })
             .collect()
     }
+
+    /// Whether a peer with these newest versions knows changes that this copy lacks.
+    #[must_use]
+    pub fn is_behind(&self, peer_versions: &[(String, StoreVersion)]) -> bool {
+        peer_versions.iter().any(|(table, version)| {
+            let head = self.head(table);
+            head.is_none_or(|head| head < *version)
+        })
+    }
 }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -315,6 +315,7 @@
             let copy = TableCopy {
                 name: table.to_owned(),
                 head,
+                complete_since: head,
                 rows,
                 is_whole: false,
             };
--- a/tests/store_era.rs
+++ b/tests/store_era.rs
@@ -32,10 +32,12 @@
     }
 }
 
+/// The copy of a peer that knows all changes since that of its newest row.
 fn whole(head: StoreVersion, rows: Vec<StoredRow>) -> TableCopy {
     TableCopy {
         name: TABLE.to_owned(),
         head,
+        complete_since: rows.iter().map(|row| row.version).max().unwrap_or(head),
         rows,
         is_whole: true,
     }
