Announce what may have been removed before a table was read

Cause: gateways announce the version of their newest row, and others pull when it is above their head. A removal that came before a gateway's first read is no row there. When all others of a domain had restarted since the removal, within the time for which they count as watchers of the store, nobody announced a version that made the third one pull.

Change: the version that is announced is at least that since which the copy is complete. A gateway that got the table from a peer announces no more than the peer, so that a restart in a large fleet makes nobody else pull.

Evidence: a_gateway_that_read_the_table_announces_what_may_have_been_removed_before fails on the commit before and passes; a_copy_from_a_peer_makes_nobody_pull guards the cost.

--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -228,10 +228,7 @@
         self.tables
             .iter()
             .filter(|(_, local)| local.head.is_some())
-            .map(|(name, local)| {
-                let versions = local.rows.iter().map(|row| row.1.version);
-                (name.clone(), versions.max().unwrap_or_default())
-            })
+            .map(|(name, local)| (name.clone(), local.newest_version()))
             .collect()
     }
 
--- a/tests/replicas.rs
+++ b/tests/replicas.rs
@@ -38,6 +38,11 @@
         self.rows.insert(format!("server-{key}"), (self.now, value));
     }
 
+    /// Another table changes, so that versions have gaps.
+    fn write_elsewhere(&mut self) {
+        self.now.version += 1;
+    }
+
     fn rows_after(&self, after: Option<StoreVersion>) -> Vec<StoredRow> {
         let rows = self.rows.iter().filter(|(_, row)| match after {
             Some(after) => row.0 > after,
@@ -110,3 +115,51 @@
     stale.pull(&restarted.replica);
     assert_eq!(stale.used(), live(&store.rows));
 }
+
+/// All other gateways had restarted since a server was removed, and none of them announced a change: the one
+/// that had missed the removal pulled nothing until the next change (related to review/4, DRAIN).
+#[test]
+fn a_gateway_that_read_the_table_announces_what_may_have_been_removed_before() {
+    let mut store = Store::new();
+    store.write(1, Some(vec![1]));
+    store.write(2, Some(vec![1]));
+    let (mut stale, mut restarted) = (Gateway::default(), Gateway::default());
+    stale.merge(store.read(None));
+    store.write(1, None);
+    restarted.merge(store.read(None));
+    assert!(
+        stale
+            .replica
+            .is_behind(&restarted.replica.newest_versions())
+    );
+    stale.pull(&restarted.replica);
+    assert_eq!(stale.used(), live(&store.rows));
+    // It is up to date now, and sends others what it got no more than once.
+    assert!(
+        !stale
+            .replica
+            .is_behind(&restarted.replica.newest_versions())
+    );
+    assert!(
+        !restarted
+            .replica
+            .is_behind(&stale.replica.newest_versions())
+    );
+}
+
+/// A gateway that got the table from a peer knows as much as the peer, and would make all others pull the
+/// whole table if it announced more.
+#[test]
+fn a_copy_from_a_peer_makes_nobody_pull() {
+    let mut store = Store::new();
+    store.write(1, Some(vec![1]));
+    let (mut old, mut restarted) = (Gateway::default(), Gateway::default());
+    old.merge(store.read(None));
+    store.write_elsewhere();
+    old.merge(store.read(old.replica.head(TABLE)));
+    restarted.pull(&old.replica);
+    assert_eq!(
+        old.replica.newest_versions(),
+        restarted.replica.newest_versions()
+    );
+}
