Remove a row that a whole copy knows an earlier removal of

What callers would see: a removed server stays in use at a gateway that pulled a whole table.

Cause: a whole copy contains removed rows too. When a row had been removed, listed again and removed once more, a sender that had missed the last two sent the first removal. The receiver, which knew the row as listed, took the key as present in the copy and the removal as older than its row: the row stayed.

Change: only a row with a value, or a later removal, counts as present.

--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -146,16 +146,20 @@
         let mut rows = snapshot.rows;
         rows.sort_by(|a, b| a.key.cmp(&b.key));
         if let Some(local) = self.tables.get(&snapshot.name) {
+            // The sender may know of an earlier removal of a row that was listed again and removed since.
+            let is_listed = |row: &StoredRow| {
+                let listed = rows.binary_search_by(|listed| listed.key.cmp(&row.key));
+                let listed = listed.ok().map(|index| &rows[index]);
+                listed.is_some_and(|listed| listed.value.is_some() || listed.version > row.version)
+            };
             let removed: Vec<StoredRow> = local
                 .rows
                 .iter()
-                .filter(|(key, row)| {
-                    row.value.is_some() && row.version <= snapshot.head && {
-                        rows.binary_search_by(|listed| listed.key.cmp(key)).is_err()
-                    }
-                })
-                .map(|(key, _)| StoredRow {
-                    key: key.clone(),
+                .map(|row| row.1)
+                .filter(|row| row.value.is_some() && row.version <= snapshot.head)
+                .filter(|row| !is_listed(row))
+                .map(|row| StoredRow {
+                    key: row.key.clone(),
                     version: complete_since,
                     value: None,
                 })
