Take up streams of an only version by a list that is checked after the question

Cause: a gateway that doesn't know where a stream began concludes its version from the list of servers, if that names a single one. The list counted as current for 3.2 s after any gateway had said that the store answered it. Nothing that waits in a socket tells how long it has waited, so that after a freeze old notices made an old list fresh; and 3.2 s are enough for a release, a stream, its break and its take-up while a gateway is cut off.

Change: the conclusion needs an answer of the store to a call that was made after the take-up came: the changes of the list, and the record of versions, in which a version stands before streams begin there. A gateway that the store doesn't answer asks up to three that it answered last, which make the check and tell the version; it waits 150 ms. Without an answer the take-up is refused as not run, and so is each repeat until somebody knows.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -173,6 +173,8 @@
             | PeerRequest::NoticeToMerge(_)
             | PeerRequest::Digest { .. }
             | PeerRequest::StreamQuery { .. }
+            | PeerRequest::OnlyVersionQuery { .. }
+            | PeerRequest::OnlyVersion { .. }
             | PeerRequest::PullStreams
             | PeerRequest::PullTables { .. } => PeerResponse::UpToDate,
         };
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod kept_stores;
 pub mod lease;
 pub mod link;
+pub mod list_check;
 pub mod notice;
 pub mod overload;
 pub mod peer_table;
@@ -37,8 +38,8 @@
 
 use {
     crate::gateway::{
-        clock::now, link::ConnectionPool, peers::PeerGroup, protocol::PlatformProtocol,
-        state::GatewayState, store::MetadataStore,
+        clock::now, link::ConnectionPool, list_check::ListChecks, peers::PeerGroup,
+        protocol::PlatformProtocol, state::GatewayState, store::MetadataStore,
     },
     cactusspur_core::{
         DurationMs,
@@ -52,7 +53,10 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::{sync::Notify, time::sleep},
+    tokio::{
+        sync::{Notify, mpsc},
+        time::sleep,
+    },
 };
 
 /// The settings of a gateway process: its addresses and the limits of the deployment.
@@ -125,6 +129,8 @@
     pub servers_listed: Notify,
     /// Notified when another gateway has told where streams began.
     pub streams_learned: Notify,
+    /// Where checks are asked for whether the list of servers is current.
+    pub list_checks: ListChecks,
     /// Whether a report of customers' use is scheduled.
     pub is_usage_report_due: Cell<bool>,
     /// Notified when weights are announced and when an engine is added or changed.
@@ -171,6 +177,7 @@
     {
         let peers = PeerGroup::bind(&settings).await?;
         let state = GatewayState::new(&settings);
+        let (list_checks, awaited_checks) = mpsc::unbounded_channel();
         let shared = Rc::new(Shared {
             protocol,
             connection_pool: ConnectionPool::new(),
@@ -183,6 +190,7 @@
             quarantine_changed: Notify::new(),
             servers_listed: Notify::new(),
             streams_learned: Notify::new(),
+            list_checks,
             is_usage_report_due: Cell::new(false),
             weights_changed: Notify::new(),
             settings,
@@ -190,6 +198,7 @@
         let store = Rc::new(store);
         peers::spawn(&shared)?;
         watch::spawn(&shared, &store);
+        list_check::spawn(&shared, &store, awaited_checks);
         weights::spawn(&shared, &store);
         version_records::spawn(&shared, &store);
         kept_stores::spawn(&shared);
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -668,6 +668,17 @@
         Some(now.since(newest_ms))
     }
 
+    /// The addresses of the running gateways that the store has answered last, at most `count`.
+    #[must_use]
+    pub fn answered_by_store(&self, count: usize, now: TimeMs) -> Vec<SocketAddr> {
+        let running = self.rows.iter().filter(|peer| peer.is_running(now));
+        let mut answered: Vec<(TimeMs, SocketAddr)> = running
+            .filter_map(|peer| Some((peer.store_answered_at_ms?, peer.address)))
+            .collect();
+        answered.sort_unstable_by_key(|row| Reverse(*row));
+        answered.into_iter().map(|row| row.1).take(count).collect()
+    }
+
     /// Returns whether this gateway should poll the store. Only [`Self::max_watchers`] of each failure
     /// domain do: those that the store answers, and for the rest those that come first in the domain's
     /// order. The others get changes from them. When too many poll, those that come last stop.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -18,7 +18,7 @@
         replica::{StoreVersion, TableCopy},
         state::GatewayState,
         store_polls::PollTimes,
-        usage, watch,
+        usage, versions, watch,
     },
     crate::{
         peer::{Envelope, PeerKey, PeerLink, PeerRequest, PeerResponse, PeerServer, SealedRequest},
@@ -38,7 +38,7 @@
     },
     tokio::{
         net::UdpSocket,
-        sync::mpsc,
+        sync::{mpsc, oneshot},
         time::{sleep, timeout},
     },
 };
@@ -64,6 +64,10 @@
 /// How long a caller that takes a stream up waits for the answers, and how often they are asked.
 const QUERY_WAIT: Duration = Duration::from_millis(60);
 const MAX_QUERIES: usize = 3;
+/// Gateways that are asked whether a service has had a single version.
+const MAX_VERSION_QUERIES: usize = 3;
+/// How long a caller that takes a stream up waits for their answers, each of which takes a call to the store.
+const VERSION_QUERY_WAIT: Duration = Duration::from_millis(150);
 /// How long a starting gateway waits for a peer's answer before it asks another one.
 const PULL_STREAMS_TIMEOUT: Duration = Duration::from_millis(250);
 /// The waits before a starting gateway asks its seeds for the other gateways.
@@ -123,6 +127,7 @@
     is_flush_due: Cell<bool>,
     is_digest_due: Cell<bool>,
     pulls: RefCell<Pulls>,
+    version_answers: RefCell<VecMap<u64, oneshot::Sender<Option<SoftwareKey>>>>,
 }
 
 impl PeerGroup {
@@ -157,6 +162,7 @@
             is_flush_due: Cell::new(false),
             is_digest_due: Cell::new(false),
             pulls: RefCell::default(),
+            version_answers: RefCell::default(),
         })
     }
 
@@ -257,6 +263,53 @@
         None
     }
 
+    /// Asks gateways that the store answers whether a service has had a single version, and which. `None` if it
+    /// had several, or if none of those asked can tell in time.
+    pub async fn ask_only_version(&self, shared: &Shared, service: &str) -> Option<SoftwareKey> {
+        let receivers = shared
+            .state
+            .borrow()
+            .peers
+            .answered_by_store(MAX_VERSION_QUERIES, now());
+        if receivers.is_empty() {
+            return None;
+        }
+        let query = rand::random();
+        let (sender, answer) = oneshot::channel();
+        {
+            let mut waiting = self.version_answers.borrow_mut();
+            waiting.retain(|_, sender| !sender.is_closed());
+            waiting.insert(query, sender);
+        }
+        let message = PeerRequest::OnlyVersionQuery {
+            service: service.to_owned(),
+            query,
+            reply_to: self.address,
+        };
+        self.send_message(message, receivers);
+        let answer = timeout(VERSION_QUERY_WAIT, answer).await;
+        self.version_answers.borrow_mut().remove(&query);
+        answer.ok()?.ok()?
+    }
+
+    /// Answers another gateway's question for the only version of a service.
+    pub fn send_only_version(
+        &self,
+        query: u64,
+        software: Option<SoftwareKey>,
+        reply_to: SocketAddr,
+    ) {
+        self.send_message(PeerRequest::OnlyVersion { query, software }, vec![reply_to]);
+    }
+
+    /// Hands an answer to the caller that waits for it. Later answers of other gateways are dropped.
+    fn record_only_version(&self, query: u64, software: Option<SoftwareKey>) {
+        if let Some(waiting) = self.version_answers.borrow_mut().remove(&query) {
+            // The caller may have left.
+            let _ = waiting.send(software);
+        }
+    }
+
     /// Gets the origins of all streams from some peer. Returns whether one answered.
     async fn pull_streams(&self, shared: &Rc<Shared>) -> bool {
         let mut addresses: Vec<SocketAddr> = shared.state.borrow().peers.addresses().collect();
@@ -751,6 +804,17 @@
         PeerRequest::StreamQuery { stream, reply_to } => {
             shared.peers.answer_stream_query(shared, stream, reply_to);
         }
+        PeerRequest::OnlyVersionQuery {
+            service,
+            query,
+            reply_to,
+        } => {
+            let answer = versions::answer_only_version(Rc::clone(shared), service, query, reply_to);
+            ntex::rt::spawn(answer);
+        }
+        PeerRequest::OnlyVersion { query, software } => {
+            shared.peers.record_only_version(query, software);
+        }
         PeerRequest::Heartbeat(_)
         | PeerRequest::PullStreams
         | PeerRequest::PullChanges { .. }
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -208,6 +208,9 @@
     /// The names of the tables in the platform's store that the gateway watches.
     fn watched_tables(&self) -> &'static [&'static str];
 
+    /// The name of the watched table that lists the backend servers.
+    fn servers_table(&self) -> &'static str;
+
     /// Parses a row of the platform's store. `None` for a row that is invalid or irrelevant to the
     /// gateway.
     fn parse_row(&self, table: &str, key: &str, value: &[u8]) -> Option<RowUpdate>;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -757,13 +757,10 @@
         due.collect()
     }
 
-    /// The software version of a service that has had no other one for as long as streams are taken up;
-    /// `None` if it had, or if a newer list of servers may exist.
+    /// The software version of a service that has had no other one for as long as streams are taken up, by the
+    /// list of servers at hand; `None` if it had.
     #[must_use]
     pub fn only_version(&self, service: &str, now: TimeMs) -> Option<SoftwareKey> {
-        if self.may_be_outdated(now) {
-            return None;
-        }
         let lifetime_ms = self.stream_origins.lifetime_ms();
         let listed = self.backends.software(service);
         self.past_versions
--- a/src/gateway/store_polls.rs
+++ b/src/gateway/store_polls.rs
@@ -103,6 +103,18 @@
     pub answer_within_ms: DurationMs,
 }
 
+impl StoreCall {
+    /// A call besides the polls, which the store answers at once.
+    #[must_use]
+    pub fn at_once(times: PollTimes) -> Self {
+        Self {
+            number: 0,
+            hold_ms: DurationMs(0),
+            answer_within_ms: times.answer_ms(0),
+        }
+    }
+}
+
 /// What to do next for a table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextCall {
--- a/src/gateway/version_records.rs
+++ b/src/gateway/version_records.rs
@@ -109,19 +109,49 @@
     where
         S: MetadataStore,
     {
-        let table = store.read_table(TABLE).await?;
-        let era = table.head.era;
-        let records = table.rows.iter().map(|row| parse_row(row, table.head));
-        let records: Vec<VersionRecord> = records.collect();
-        tracing::info!(era, records = records.len(), "versions of services read");
-        self.was_empty.get_or_insert(records.is_empty());
-        self.loaded_era = Some(era);
-        let mut state = shared.state.borrow_mut();
-        state.load_version_records(records, era, now());
-        Ok(era)
+        let read = read(shared, store).await?;
+        tracing::info!(
+            era = read.era,
+            records = read.records,
+            "versions of services read"
+        );
+        self.was_empty.get_or_insert(read.records == 0);
+        self.loaded_era = Some(read.era);
+        Ok(read.era)
     }
 }
 
+/// What was read of the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RecordsRead {
+    /// The era of the store.
+    pub era: u64,
+    /// The number of records.
+    pub records: usize,
+}
+
+/// Reads all records and takes them in.
+///
+/// # Errors
+///
+/// When the store doesn't answer.
+pub async fn read<S>(shared: &Rc<Shared>, store: &S) -> Result<RecordsRead, StoreError>
+where
+    S: MetadataStore,
+{
+    let table = store.read_table(TABLE).await?;
+    let era = table.head.era;
+    let rows = table.rows.iter();
+    let records: Vec<VersionRecord> = rows.map(|row| parse_row(row, table.head)).collect();
+    let read = RecordsRead {
+        era,
+        records: records.len(),
+    };
+    let mut state = shared.state.borrow_mut();
+    state.load_version_records(records, era, now());
+    Ok(read)
+}
+
 /// A row that can't be read is one whose versions aren't known.
 fn parse_row(row: &StoredRow, head: StoreVersion) -> VersionRecord {
     let value = row.value.as_deref().unwrap_or_default();
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -1,10 +1,10 @@
 //! Keeps each stream at the software version that began it.
 
 use {
-    super::{Shared, call::Call, clock::now},
+    super::{Shared, call::Call, clock::now, list_check},
     cactusspur_core::gateway::{CallKind, SoftwareKey, StreamOrigin},
     derive_more::{Display, Error},
-    std::rc::Rc,
+    std::{net::SocketAddr, rc::Rc},
 };
 
 /// The error of a stream that is taken up and whose version isn't known.
@@ -24,11 +24,13 @@
     }
     let stream = call.stream_key();
     let own = stream.and_then(|stream| shared.state.borrow().stream_origins.get(stream));
-    let only = || shared.state.borrow().only_version(&call.service, now());
-    let (software, source) = match (own.or_else(only), stream) {
+    let (software, source) = match (own, stream) {
         (Some(software), _) => (Some(software), "this gateway"),
-        (None, Some(stream)) => (shared.peers.ask_origin(shared, stream).await, "others"),
-        (None, None) => (None, "nobody"),
+        (None, stream) => match (only_version(shared, &call.service).await, stream) {
+            (Some(software), _) => (Some(software), "the list of servers"),
+            (None, Some(stream)) => (shared.peers.ask_origin(shared, stream).await, "others"),
+            (None, None) => (None, "nobody"),
+        },
     };
     tracing::info!(
         request = call.head.request_id,
@@ -46,6 +48,33 @@
     Ok(())
 }
 
+/// The only version that a service has had for as long as streams are taken up, by a list of servers that is as
+/// new as the stream: it began before the question. The list is this gateway's if the store answers it, and
+/// else that of a gateway which the store answers.
+async fn only_version(shared: &Rc<Shared>, service: &str) -> Option<SoftwareKey> {
+    let listed = || shared.state.borrow().only_version(service, now());
+    listed()?;
+    if list_check::confirm(shared).await {
+        return listed();
+    }
+    let confirmed = shared.peers.ask_only_version(shared, service).await;
+    confirmed.filter(|software| listed() == Some(*software))
+}
+
+/// Tells another gateway whether a service has had a single version, unless the list of servers can't be
+/// checked.
+pub async fn answer_only_version(
+    shared: Rc<Shared>,
+    service: String,
+    query: u64,
+    reply_to: SocketAddr,
+) {
+    if list_check::confirm(&shared).await {
+        let software = shared.state.borrow().only_version(&service, now());
+        shared.peers.send_only_version(query, software, reply_to);
+    }
+}
+
 /// Records the first event of a stream, which binds it to the version of its server, and tells the other
 /// gateways.
 pub fn record_first_event(shared: &Rc<Shared>, call: &Call, software: SoftwareKey) {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -291,7 +291,7 @@
 }
 
 /// Polls the store once. Returns whether the table has changed.
-async fn poll<S>(
+pub async fn poll<S>(
     shared: &Rc<Shared>,
     store: &S,
     table: &str,
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -20,7 +20,7 @@
     bytes::{BufMut, Bytes, BytesMut},
     cactusspur_core::{
         DurationMs, EntryId, Generation, VmList,
-        gateway::{StreamKey, StreamOrigin},
+        gateway::{SoftwareKey, StreamKey, StreamOrigin},
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{fmt, marker::PhantomData, net::SocketAddr},
@@ -129,6 +129,23 @@
         /// The merged notices.
         digest: Box<Digest>,
     },
+    /// Asks whether a service has had a single software version, by a list of servers that is checked after
+    /// this question. Sent as a datagram; a receiver that knows it answers with a [`Self::OnlyVersion`].
+    OnlyVersionQuery {
+        /// The service's name.
+        service: String,
+        /// A number that the answer repeats.
+        query: u64,
+        /// The address of the gateway that asks.
+        reply_to: SocketAddr,
+    },
+    /// Answers a [`Self::OnlyVersionQuery`].
+    OnlyVersion {
+        /// The number of the question.
+        query: u64,
+        /// The version; `None` if the service has had several.
+        software: Option<SoftwareKey>,
+    },
 }
 
 /// The response to a [`PeerRequest`].
