--- a/core/src/gateway/shutdown.rs
+++ b/core/src/gateway/shutdown.rs
@@ -24,6 +24,7 @@
 pub struct ShutdownSchedule {
     unbounded_until_ms: TimeMs,
     closes_at_ms: TimeMs,
+    closed_at_ms: Option<TimeMs>,
     ends_at_ms: TimeMs,
 }
 
@@ -36,10 +37,20 @@
         Self {
             unbounded_until_ms: now.after(UNBOUNDED_MS.min(unready_ms)),
             closes_at_ms: now.after(unready_ms),
+            closed_at_ms: None,
             ends_at_ms: now.after(grace_ms.saturating_sub(margin_ms)),
         }
     }
 
+    /// The same schedule once connections are closed, which a busy process does late.
+    #[must_use]
+    pub const fn closed(self, now: TimeMs) -> Self {
+        Self {
+            closed_at_ms: Some(now),
+            ..self
+        }
+    }
+
     /// When connections are closed, each after its request in progress.
     #[must_use]
     pub const fn closes_at_ms(&self) -> TimeMs {
@@ -59,8 +70,9 @@
         if now < self.unbounded_until_ms {
             return true;
         }
-        let is_last = now > self.closes_at_ms.after(LAST_REQUEST_MS);
-        !is_last && answer_by_ms <= self.ends_at_ms
+        let closed_at_ms = self.closed_at_ms;
+        let is_over = closed_at_ms.is_some_and(|at_ms| now.since(at_ms) > LAST_REQUEST_MS);
+        !is_over && answer_by_ms <= self.ends_at_ms
     }
 }
 
--- a/core/tests/gateway/shutdown.rs
+++ b/core/tests/gateway/shutdown.rs
@@ -46,6 +46,18 @@
     assert!(schedule.takes(early.after(DurationMs(15_000)), early));
 }
 
+/// A process that was busy when connections had to be closed refused the requests that waited in them.
+#[test]
+fn what_waits_while_the_process_is_busy_is_taken() {
+    let schedule = ShutdownSchedule::new(DurationMs(8_000), BEGIN);
+    let late = BEGIN.after(DurationMs(3_600));
+    let answer_by_ms = late.after(DurationMs(1_500));
+    assert!(schedule.takes(answer_by_ms, late));
+    assert!(schedule.closed(late).takes(answer_by_ms, late));
+    let later = late.after(DurationMs(300));
+    assert!(!schedule.closed(late).takes(answer_by_ms, later));
+}
+
 /// What is cut off at the end may be so only in the last sixth of the grace period.
 #[test]
 fn the_process_ends_in_the_last_sixth_of_any_grace_period() {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -220,6 +220,7 @@
         tracing::info!(grace_ms = grace_ms.0, "shutting down");
         let unready_ms = schedule.closes_at_ms().since(started_at_ms);
         sleep(Duration::from_millis(unready_ms.0)).await;
+        self.shared.shutdown.set(Some(schedule.closed(now())));
         self.server.stop_accepting();
         loop {
             sleep(DRAIN_POLL_PERIOD).await;
