Take a refusal for one only if it names the request

Cause: an answer with another request's id was dropped, one without an id passed as the request's own. Questions of the gateway itself carry no id, and are refused without one on the same connections. A request that an engine rejects for its weights is sent to it again after a look at its weights, with the same id: on the same connection it could meet its own rejection once more. And a 408, 429 or 503 by which a server didn't say that the request has not run was passed on, which callers take for that statement.

Change: a refusal counts only with the request's id; without it the request may have run. A connection on which a request was rejected as misdirected is closed. For requests that may run once, a status that promises callers that nothing ran, without the server's statement, is answered as 502 without the server's signature.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -506,8 +506,13 @@
         .state
         .borrow_mut()
         .record_signals(choice.worker, &head, in_flight.sent_to(), now());
-    let response_id = head.request_id.as_deref();
-    if response_id.is_some_and(|id| id != call.head.request_id) {
+    let is_refusal = head.is_not_run || head.is_misdirected;
+    let belongs_to_request = match head.request_id.as_deref() {
+        Some(id) => id == call.head.request_id,
+        // A server may send an earlier refusal again, which then precedes the response to a request that runs.
+        None => !is_refusal,
+    };
+    if !belongs_to_request {
         record_result(shared, choice.worker, false);
         return Err(AttemptFailure {
             reason: "the response belongs to another request".to_owned(),
@@ -523,7 +528,7 @@
         drop(state);
         shared.peers.queue_load(choice.worker, load);
     }
-    if head.is_not_run || head.is_misdirected {
+    if is_refusal {
         usage.inspect(|usage| usage.record_not_run());
         return Err(handle_not_run(shared, choice, reply, &head).await);
     }
@@ -565,7 +570,10 @@
     head: &ResponseHead,
 ) -> AttemptFailure {
     let status = reply.head.status;
-    if let Err(error) = reply
+    if head.is_misdirected {
+        // The request may be sent to the same server again, and must not meet its own refusal once more.
+        drop(reply);
+    } else if let Err(error) = reply
         .read(&shared.connection_pool, MAX_BUFFERED_RESPONSE_BYTES)
         .await
     {
@@ -611,6 +619,17 @@
             has_weights_mismatch: false,
         });
     }
+    if head.promises_not_run && !call.kind().may_repeat() {
+        record_result(shared, choice.worker, false);
+        return Outcome::Failed(AttemptFailure {
+            reason: format!(
+                "{status} without the server's statement that it has not run the request"
+            ),
+            verdict: Verdict::MayHaveRun,
+            is_unsent: false,
+            has_weights_mismatch: false,
+        });
+    }
     let headers = &reply.head.headers;
     if shared
         .protocol
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -116,6 +116,8 @@
     /// Whether the server rejected the request because it is another incarnation than expected or
     /// has other weights.
     pub is_misdirected: bool,
+    /// Whether the status alone would tell a caller that the request has not run.
+    pub promises_not_run: bool,
     /// The instance id of the incarnation that responded, if the server reports it.
     pub instance: Option<String>,
     /// The server's load, if it reports it.
