Take a stream up only if all services of its route have the same single version

Cause: a take-up draws its service like a new request, and the version was concluded from that service alone. That it has a single version says nothing of a stream that began at another one. The same when a configuration moves the route in between.

Change: the conclusion needs the same single version of all services of the route, and of those to which it led while streams may be taken up, which a gateway remembers from the configurations that it had.

--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -12,6 +12,7 @@
 pub mod explanation;
 pub mod overload;
 pub mod pace;
+pub mod past_services;
 pub mod past_versions;
 pub mod pause;
 mod prediction;
@@ -40,6 +41,7 @@
         RefusalReason,
     },
     pace::Pace,
+    past_services::PastServices,
     past_versions::{PastVersion, PastVersions, VersionRecord},
     pause::Pause,
     quarantine::{
--- a/core/src/gateway/routing.rs
+++ b/core/src/gateway/routing.rs
@@ -75,6 +75,12 @@
 }
 
 impl Route {
+    /// The services that requests may go to.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        let used = self.splits.iter().filter(|split| split.weight > 0);
+        used.map(|split| split.service.as_str())
+    }
+
     /// The service for a request, chosen by the weights of the splits. `random` is a number drawn
     /// once for the request. `None` if the weights sum to zero.
     #[must_use]
@@ -226,6 +232,11 @@
             .find(|route| path.starts_with(&route.prefix))
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.iter()
+    }
+
     /// The service with this name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,8 +18,8 @@
         DurationMs, EntryId, TimeMs, VecMap, WeightsVersion, WorkerId,
         gateway::{
             AnnouncedWeights, Backend, BackendTable, CachedParts, Load, Overload, PartUpdate,
-            PastVersion, PastVersions, Quarantine, RetryBudget, RoutingTable, SoftwareKey,
-            StreamOrigin, StreamOrigins, UsageOrigin, UsageTable, VersionRecord,
+            PastServices, PastVersion, PastVersions, Quarantine, RetryBudget, Route, RoutingTable,
+            SoftwareKey, StreamOrigin, StreamOrigins, UsageOrigin, UsageTable, VersionRecord,
         },
     },
     std::rc::Rc,
@@ -81,6 +81,8 @@
     pub is_first_gateway: bool,
     /// Where streams began.
     pub stream_origins: StreamOrigins,
+    /// The services that routes led to.
+    pub past_services: PastServices,
     /// The versions that services had, and what the store holds of them.
     pub past_versions: PastVersions,
     /// The requests and prompt parts on which servers crash.
@@ -137,6 +139,7 @@
             kept_stores: KeptStoreStates::default(),
             is_first_gateway: false,
             stream_origins: StreamOrigins::default(),
+            past_services: PastServices::default(),
             past_versions: PastVersions::starting_at(now()),
             quarantine: Quarantine::new(gateway_rank(&settings.name, 0), now()),
             overload: Overload::default(),
@@ -352,6 +355,11 @@
             %row_version,
             "configuration in force"
         );
+        if let Some(earlier) = &self.routing {
+            let lifetime_ms = self.stream_origins.lifetime_ms();
+            self.past_services
+                .record(earlier.routes(), lifetime_ms, now);
+        }
         let longest_ms = routing.longest_stream_ms();
         self.stream_origins
             .set_lifetime(DurationMs(longest_ms.0 * STREAM_ATTEMPTS));
@@ -767,6 +775,26 @@
             .only_version(service, listed, lifetime_ms, now)
     }
 
+    /// The only version of all services at which a stream of a route may have begun; `None` if they had several.
+    #[must_use]
+    pub fn only_version_of_route(&self, route: &Route, now: TimeMs) -> Option<SoftwareKey> {
+        let services = self.stream_services(route, now);
+        let mut versions = services
+            .iter()
+            .map(|service| self.only_version(service, now));
+        let first = versions.next()??;
+        versions
+            .all(|version| version == Some(first))
+            .then_some(first)
+    }
+
+    /// The services at which a stream of a route may have begun.
+    #[must_use]
+    pub fn stream_services(&self, route: &Route, now: TimeMs) -> Vec<String> {
+        let lifetime_ms = self.stream_origins.lifetime_ms();
+        self.past_services.of_route(route, lifetime_ms, now)
+    }
+
     /// The versions that services had and that streams may still be bound to, for notices.
     #[must_use]
     pub fn past_versions(&self, now: TimeMs) -> Vec<PastVersion> {
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Shared, call::Call, clock::now, list_check},
-    cactusspur_core::gateway::{CallKind, SoftwareKey, StreamOrigin},
+    cactusspur_core::gateway::{CallKind, Route, SoftwareKey, StreamOrigin},
     derive_more::{Display, Error},
     std::{net::SocketAddr, rc::Rc},
 };
@@ -26,7 +26,7 @@
     let own = stream.and_then(|stream| shared.state.borrow().stream_origins.get(stream));
     let (software, source) = match (own, stream) {
         (Some(software), _) => (Some(software), "this gateway"),
-        (None, stream) => match (only_version(shared, &call.service).await, stream) {
+        (None, stream) => match (only_version(shared, &call.route).await, stream) {
             (Some(software), _) => (Some(software), "the list of servers"),
             (None, Some(stream)) => (shared.peers.ask_origin(shared, stream).await, "others"),
             (None, None) => (None, "nobody"),
@@ -48,17 +48,23 @@
     Ok(())
 }
 
-/// The only version that a service has had for as long as streams are taken up, by a list of servers that is as
-/// new as the stream: it began before the question. The list is this gateway's if the store answers it, and
-/// else that of a gateway which the store answers.
-async fn only_version(shared: &Rc<Shared>, service: &str) -> Option<SoftwareKey> {
-    let listed = || shared.state.borrow().only_version(service, now());
+/// The only version that the services of a route have had for as long as streams are taken up, by a list of servers
+/// that is as new as the stream: it began before the question. The list is this gateway's if the store answers
+/// it, and else that of a gateway which the store answers.
+async fn only_version(shared: &Rc<Shared>, route: &Route) -> Option<SoftwareKey> {
+    let listed = || shared.state.borrow().only_version_of_route(route, now());
     listed()?;
     if list_check::confirm(shared).await {
         return listed();
     }
-    let confirmed = shared.peers.ask_only_version(shared, service).await;
-    confirmed.filter(|software| listed() == Some(*software))
+    let services = shared.state.borrow().stream_services(route, now());
+    for service in services {
+        let confirmed = shared.peers.ask_only_version(shared, &service).await;
+        if confirmed.is_none() || confirmed != listed() {
+            return None;
+        }
+    }
+    listed()
 }
 
 /// Tells another gateway whether a service has had a single version, unless the list of servers can't be
