--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -10,7 +10,7 @@
         clock::now,
         link::{ExchangeFailure, UnreadResponse},
         overload,
-        protocol::ResponseHead,
+        protocol::{ResponseHead, RunClaim},
         quarantine, relay,
         response::{self, ResponseBody},
         usage, versions, weights,
@@ -506,7 +506,7 @@
         .state
         .borrow_mut()
         .record_signals(choice.worker, &head, in_flight.sent_to(), now());
-    let is_refusal = head.is_not_run || head.is_misdirected;
+    let is_refusal = head.run_claim.is_refusal();
     let belongs_to_request = match head.request_id.as_deref() {
         Some(id) => id == call.head.request_id,
         // A server may send an earlier refusal again, which then precedes the response to a request that runs.
@@ -570,7 +570,8 @@
     head: &ResponseHead,
 ) -> AttemptFailure {
     let status = reply.head.status;
-    if head.is_misdirected {
+    let is_misdirected = head.run_claim == RunClaim::Misdirected;
+    if is_misdirected {
         // The request may be sent to the same server again, and must not meet its own refusal once more.
         drop(reply);
     } else if let Err(error) = reply
@@ -583,7 +584,7 @@
     if let Some(backend) = shared.state.borrow_mut().backends.get_mut(choice.worker) {
         let instance = head.instance.as_deref();
         let is_other_instance = instance.is_some_and(|instance| instance != backend.spec.instance);
-        match (head.is_misdirected, is_other_instance) {
+        match (is_misdirected, is_other_instance) {
             // Another server has the address now.
             (true, true) => backend.record_unreachable(now()),
             (true, false) => has_weights_mismatch = choice.weights.is_some(),
@@ -619,7 +620,7 @@
             has_weights_mismatch: false,
         });
     }
-    if head.promises_not_run && !call.kind().may_repeat() {
+    if head.run_claim == RunClaim::Implied && !call.kind().may_repeat() {
         record_result(shared, choice.worker, false);
         return Outcome::Failed(AttemptFailure {
             reason: format!(
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -106,18 +106,35 @@
     pub pause_ms: Option<DurationMs>,
 }
 
+/// What a backend server's response says of whether the request has run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RunClaim {
+    /// Nothing: the request may have run.
+    #[default]
+    Unstated,
+    /// Its status alone would tell a caller that the request has not run. The server doesn't say so.
+    Implied,
+    /// The server states that it has not run the request.
+    NotRun,
+    /// The server rejected the request because it is another incarnation than expected or has other weights.
+    Misdirected,
+}
+
+impl RunClaim {
+    /// Whether the server has not run the request, by its own statement.
+    #[must_use]
+    pub const fn is_refusal(self) -> bool {
+        matches!(self, Self::NotRun | Self::Misdirected)
+    }
+}
+
 /// The header fields of a backend server's response.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseHead {
     /// The id of the request that the response belongs to.
     pub request_id: Option<String>,
-    /// Whether the server states that it has not run the request.
-    pub is_not_run: bool,
-    /// Whether the server rejected the request because it is another incarnation than expected or
-    /// has other weights.
-    pub is_misdirected: bool,
-    /// Whether the status alone would tell a caller that the request has not run.
-    pub promises_not_run: bool,
+    /// What the response says of whether the request has run.
+    pub run_claim: RunClaim,
     /// The instance id of the incarnation that responded, if the server reports it.
     pub instance: Option<String>,
     /// The server's load, if it reports it.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,7 +9,7 @@
         kept_stores::KeptStoreStates,
         notice::{Notice, RolloutNotice, WeightsNotice},
         peer_table::{OwnIdentity, Peers, gateway_rank},
-        protocol::{PlatformProtocol, ResponseHead, RowUpdate},
+        protocol::{PlatformProtocol, ResponseHead, RowUpdate, RunClaim},
         removed::RemovedBackends,
         replica::{Replica, StoreVersion, StoredRow},
         store_polls::{PollTimes, StorePolls},
@@ -498,7 +498,7 @@
     #[must_use]
     pub fn reported_load(&self, worker: WorkerId, head: &ResponseHead) -> Option<Load> {
         let limit = self.backends.get(worker).and_then(Backend::limit);
-        let ends_limit = limit.is_some() && !head.is_misdirected;
+        let ends_limit = limit.is_some() && head.run_claim != RunClaim::Misdirected;
         head.load.or_else(|| ends_limit.then(Load::default))
     }
 
@@ -530,7 +530,7 @@
         let instance = head.instance.as_ref();
         let is_other = instance.is_some_and(|instance| *instance != backend.spec.instance);
         let is_earlier = backend.spec.started_at_ms != sent.started_at_ms;
-        if (head.is_misdirected && is_other) || is_earlier {
+        if (head.run_claim == RunClaim::Misdirected && is_other) || is_earlier {
             return;
         }
         let Some(pause_ms) = head.signals.pause_ms else {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -291,6 +291,10 @@
 }
 
 /// Polls the store once. Returns whether the table has changed.
+///
+/// # Errors
+///
+/// When the store doesn't answer.
 pub async fn poll<S>(
     shared: &Rc<Shared>,
     store: &S,
