Give a check of the list of servers more time than a poll

Change: a check may take as long as a poll after two failures (1 s where changes are due within 2 s).

--- a/src/gateway/list_check.rs
+++ b/src/gateway/list_check.rs
@@ -21,6 +21,10 @@
 /// The least time between two checks. Those who ask meanwhile get the answer of the next one.
 const CHECK_SPACING: Duration = Duration::from_millis(20);
 
+/// How much longer than a poll a check may take, as after this many failures: a busy gateway or a slow store
+/// answers late, and a caller loses its stream otherwise.
+const PATIENCE: u32 = 2;
+
 /// Where a check is asked for.
 pub type ListChecks = mpsc::UnboundedSender<oneshot::Sender<bool>>;
 /// Those who wait for a check.
@@ -72,7 +76,12 @@
 where
     S: MetadataStore,
 {
-    let limit_ms = shared.state.borrow().store_polls.times().answer_ms(0);
+    let limit_ms = shared
+        .state
+        .borrow()
+        .store_polls
+        .times()
+        .answer_ms(PATIENCE);
     let reads = async {
         let (list, records) = tokio::join!(
             read_list(shared, store),
@@ -103,7 +112,7 @@
 where
     S: MetadataStore,
 {
-    let call = StoreCall::at_once(shared.state.borrow().store_polls.times());
+    let call = StoreCall::at_once(shared.state.borrow().store_polls.times(), PATIENCE);
     let table = shared.protocol.servers_table();
     watch::poll(shared, store, table, call).await.map(|_| ())
 }
--- a/src/gateway/store_polls.rs
+++ b/src/gateway/store_polls.rs
@@ -104,13 +104,14 @@
 }
 
 impl StoreCall {
-    /// A call besides the polls, which the store answers at once.
+    /// A call besides the polls, which the store answers at once. It may take as long as a poll after some
+    /// failures.
     #[must_use]
-    pub fn at_once(times: PollTimes) -> Self {
+    pub fn at_once(times: PollTimes, failures: u32) -> Self {
         Self {
             number: 0,
             hold_ms: DurationMs(0),
-            answer_within_ms: times.answer_ms(0),
+            answer_within_ms: times.answer_ms(failures),
         }
     }
 }
