--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -31,6 +31,7 @@
 pub mod store;
 pub mod store_polls;
 pub mod usage;
+pub mod version_queries;
 pub mod version_records;
 pub mod versions;
 pub mod watch;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -18,7 +18,9 @@
         replica::{StoreVersion, TableCopy},
         state::GatewayState,
         store_polls::PollTimes,
-        usage, versions, watch,
+        usage,
+        version_queries::{OnlyVersion, VersionQueries},
+        versions, watch,
     },
     crate::{
         peer::{Envelope, PeerKey, PeerLink, PeerRequest, PeerResponse, PeerServer, SealedRequest},
@@ -38,7 +40,7 @@
     },
     tokio::{
         net::UdpSocket,
-        sync::{mpsc, oneshot},
+        sync::mpsc,
         time::{sleep, timeout},
     },
 };
@@ -127,7 +129,7 @@
     is_flush_due: Cell<bool>,
     is_digest_due: Cell<bool>,
     pulls: RefCell<Pulls>,
-    version_answers: RefCell<VecMap<u64, oneshot::Sender<Option<SoftwareKey>>>>,
+    version_queries: VersionQueries,
 }
 
 impl PeerGroup {
@@ -162,7 +164,7 @@
             is_flush_due: Cell::new(false),
             is_digest_due: Cell::new(false),
             pulls: RefCell::default(),
-            version_answers: RefCell::default(),
+            version_queries: VersionQueries::default(),
         })
     }
 
@@ -265,7 +267,7 @@
 
     /// Asks gateways that the store answers whether a service has had a single version, and which. `None` if it
     /// had several, or if none of those asked can tell in time.
-    pub async fn ask_only_version(&self, shared: &Shared, service: &str) -> Option<SoftwareKey> {
+    pub async fn ask_only_version(&self, shared: &Shared, service: &str) -> OnlyVersion {
         let receivers = shared
             .state
             .borrow()
@@ -274,42 +276,21 @@
         if receivers.is_empty() {
             return None;
         }
-        let query = rand::random();
-        let (sender, answer) = oneshot::channel();
-        {
-            let mut waiting = self.version_answers.borrow_mut();
-            waiting.retain(|_, sender| !sender.is_closed());
-            waiting.insert(query, sender);
-        }
+        let (query, answer) = self.version_queries.begin();
         let message = PeerRequest::OnlyVersionQuery {
             service: service.to_owned(),
             query,
             reply_to: self.address,
         };
         self.send_message(message, receivers);
-        let answer = timeout(VERSION_QUERY_WAIT, answer).await;
-        self.version_answers.borrow_mut().remove(&query);
-        answer.ok()?.ok()?
+        timeout(VERSION_QUERY_WAIT, answer).await.ok()?.ok()?
     }
 
     /// Answers another gateway's question for the only version of a service.
-    pub fn send_only_version(
-        &self,
-        query: u64,
-        software: Option<SoftwareKey>,
-        reply_to: SocketAddr,
-    ) {
+    pub fn send_only_version(&self, query: u64, software: OnlyVersion, reply_to: SocketAddr) {
         self.send_message(PeerRequest::OnlyVersion { query, software }, vec![reply_to]);
     }
 
-    /// Hands an answer to the caller that waits for it. Later answers of other gateways are dropped.
-    fn record_only_version(&self, query: u64, software: Option<SoftwareKey>) {
-        if let Some(waiting) = self.version_answers.borrow_mut().remove(&query) {
-            // The caller may have left.
-            let _ = waiting.send(software);
-        }
-    }
-
     /// Gets the origins of all streams from some peer. Returns whether one answered.
     async fn pull_streams(&self, shared: &Rc<Shared>) -> bool {
         let mut addresses: Vec<SocketAddr> = shared.state.borrow().peers.addresses().collect();
@@ -813,7 +794,7 @@
             ntex::rt::spawn(answer);
         }
         PeerRequest::OnlyVersion { query, software } => {
-            shared.peers.record_only_version(query, software);
+            shared.peers.version_queries.answer(query, software);
         }
         PeerRequest::Heartbeat(_)
         | PeerRequest::PullStreams
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -22,16 +22,7 @@
     if !is_stream || call.head.last_event.is_none() {
         return Ok(());
     }
-    let stream = call.stream_key();
-    let own = stream.and_then(|stream| shared.state.borrow().stream_origins.get(stream));
-    let (software, source) = match (own, stream) {
-        (Some(software), _) => (Some(software), "this gateway"),
-        (None, stream) => match (only_version(shared, &call.route).await, stream) {
-            (Some(software), _) => (Some(software), "the list of servers"),
-            (None, Some(stream)) => (shared.peers.ask_origin(shared, stream).await, "others"),
-            (None, None) => (None, "nobody"),
-        },
-    };
+    let (software, source) = find_version(shared, call).await;
     tracing::info!(
         request = call.head.request_id,
         resumes = call.head.resumes,
@@ -48,6 +39,23 @@
     Ok(())
 }
 
+/// The version that began the stream that a caller takes up, if it can be known, and who knows it.
+async fn find_version(shared: &Rc<Shared>, call: &Call) -> (Option<SoftwareKey>, &'static str) {
+    let stream = call.stream_key();
+    let own = stream.and_then(|stream| shared.state.borrow().stream_origins.get(stream));
+    if own.is_some() {
+        return (own, "this gateway");
+    }
+    let only = only_version(shared, &call.route).await;
+    if only.is_some() {
+        return (only, "the list of servers");
+    }
+    match stream {
+        Some(stream) => (shared.peers.ask_origin(shared, stream).await, "others"),
+        None => (None, "nobody"),
+    }
+}
+
 /// The only version that the services of a route have had for as long as streams are taken up, by a list of servers
 /// that is as new as the stream: it began before the question. The list is this gateway's if the store answers
 /// it, and else that of a gateway which the store answers.
