--- a/src/peer.rs
+++ b/src/peer.rs
@@ -21,7 +21,7 @@
     },
     passing::{
         NotTaken, PassFailure, PassLink, PassedAnswer, PassedBody, PassedRequest, PassedResponse,
-        SentRequest, decode_headers, encode_headers,
+        SealedPassedAnswer, SealedPassedRequest, SentRequest, decode_headers, encode_headers,
     },
     server::{MAX_CONNECTIONS, PeerServer, Taken, TakenRequest, Taker},
 };
--- a/src/peer/passing.rs
+++ b/src/peer/passing.rs
@@ -97,6 +97,11 @@
     },
 }
 
+/// The head of a request that is passed on, in the sealed format.
+pub type SealedPassedRequest = Sealed<PassedRequest>;
+/// The head of its answer in the sealed format.
+pub type SealedPassedAnswer = Sealed<PassedAnswer>;
+
 impl Message for PassedRequest {
     const MAX_BYTES: usize = MAX_HEAD_BYTES;
 
