Let gateways tell each other which versions of messages they read

What gateways tell each other had one version, which checks strictly: another version byte, an unknown variant or a trailing byte, and the message is dropped. So a build could say nothing more without being unreadable to the one that it replaces.

Version 1 stays as it is and is what everything is said in. Version 2 is a datagram of sections, each with a tag and a length, under a key of its own: a reader skips the sections that it doesn't know. The only one yet is the announcement of the newest version that a gateway reads.

`/status` has `messages_version` and `peer_versions`, `cactusspur gateway` prints the peers that read less, and a log line tells each announcement that changes what is known.

Nothing is sent by way of the selected version yet: no fact needs more than version 1.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,6 +19,7 @@
 pub mod overload;
 pub mod passing_on;
 pub mod peer_table;
+pub mod peer_versions;
 pub mod peers;
 pub mod protocol;
 pub mod pulls;
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -583,6 +583,12 @@
         }
     }
 
+    /// The addresses of the running peers.
+    pub fn running_addresses(&self, now: TimeMs) -> impl Iterator<Item = SocketAddr> {
+        let running = self.rows.iter().filter(move |peer| peer.is_running(now));
+        running.map(|peer| peer.address)
+    }
+
     /// The names of the running peers.
     pub fn running(&self, now: TimeMs) -> impl Iterator<Item = &str> {
         let running = self.rows.iter().filter(move |peer| peer.is_running(now));
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -14,6 +14,7 @@
         notice::{Notice, RolloutNotice, StatusNotice},
         passing_on,
         peer_table::Member,
+        peer_versions::{self, PeerVersions},
         pulls::Pulls,
         quarantine,
         replica::{StoreVersion, TableCopy},
@@ -26,7 +27,7 @@
     crate::{
         peer::{
             Envelope, PassLink, PeerKey, PeerLink, PeerRequest, PeerResponse, PeerServer,
-            SealedRequest,
+            SECTIONS_VERSION, SealedRequest,
         },
         timeline::HybridTime,
     },
@@ -134,6 +135,7 @@
     is_digest_due: Cell<bool>,
     pulls: RefCell<Pulls>,
     version_queries: VersionQueries,
+    versions: RefCell<PeerVersions>,
 }
 
 impl PeerGroup {
@@ -169,6 +171,7 @@
             is_digest_due: Cell::new(false),
             pulls: RefCell::default(),
             version_queries: VersionQueries::default(),
+            versions: RefCell::default(),
         })
     }
 
@@ -671,6 +674,11 @@
                 return;
             }
         };
+        self.send_sealed(sealed, receivers);
+    }
+
+    /// Queues a sealed datagram.
+    pub(super) fn send_sealed(&self, sealed: Bytes, receivers: Vec<SocketAddr>) {
         if self
             .outbox
             .try_send(Datagram { sealed, receivers })
@@ -681,6 +689,16 @@
         }
     }
 
+    /// The key that seals messages.
+    pub(super) const fn key(&self) -> &PeerKey {
+        &self.key
+    }
+
+    /// Which versions of messages the peers read.
+    pub(super) const fn versions(&self) -> &RefCell<PeerVersions> {
+        &self.versions
+    }
+
     /// A link for requests that are passed on to a peer.
     #[must_use]
     pub fn pass_link(&self, address: SocketAddr) -> PassLink {
@@ -718,6 +736,7 @@
     ntex::rt::spawn(announce_periodically(Rc::clone(shared)));
     ntex::rt::spawn(hand_out_status_periodically(Rc::clone(shared)));
     ntex::rt::spawn(join_at_start(Rc::clone(shared)));
+    ntex::rt::spawn(peer_versions::ask_periodically(Rc::clone(shared)));
     Ok(())
 }
 
@@ -772,11 +791,15 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match shared.peers.socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => {
-                let sealed = SealedRequest::from(Bytes::copy_from_slice(&buffer[..length]));
-                match sealed.open(&shared.peers.key) {
+            Ok((length, sender)) => {
+                let datagram = Bytes::copy_from_slice(&buffer[..length]);
+                if datagram.first() == Some(&SECTIONS_VERSION) {
+                    peer_versions::handle_sections(&shared, &datagram);
+                    continue;
+                }
+                match SealedRequest::from(datagram).open(&shared.peers.key) {
                     Ok(envelope) => handle_datagram(&shared, envelope),
-                    Err(error) => tracing::debug!(%error, "rejected a datagram"),
+                    Err(error) => peer_versions::record_rejected(&shared, sender, error),
                 }
             }
             Err(error) => {
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -4,6 +4,7 @@
     super::{
         Shared, brittle::BrittleService, clock::now, notice::WeightsNotice, state::GatewayState,
     },
+    crate::peer::NEWEST_VERSION,
     cactusspur_core::{
         CustomerId, DurationMs, TimeMs, WeightsVersion,
         gateway::{Backend, RoutingTable, Suspect, UsageState},
@@ -35,6 +36,13 @@
     pub store_era: u64,
     /// The names of the other running gateways.
     pub peers: Vec<String>,
+    /// The newest version of messages that this gateway reads.
+    #[serde(default)]
+    pub messages_version: u8,
+    /// The newest version of messages that this gateway and each of the other running ones read, by the
+    /// other one's address.
+    #[serde(default)]
+    pub peer_versions: Vec<(SocketAddr, u8)>,
     /// The weights that were announced most recently, by model.
     pub weights: Vec<WeightsNotice>,
     /// The configured KV cache stores.
@@ -128,6 +136,9 @@
     pub fn collect(shared: &Shared) -> Self {
         let now = now();
         let state = shared.state.borrow();
+        let versions = shared.peers.versions().borrow();
+        let running = state.peers.running_addresses(now);
+        let peer_versions = running.map(|address| (address, versions.common(address, now)));
         Self {
             name: shared.settings.name.clone(),
             domain: shared.settings.domain.clone(),
@@ -143,6 +154,8 @@
                 .collect(),
             store_era: state.replica.era(),
             peers: state.peers.running(now).map(str::to_owned).collect(),
+            messages_version: NEWEST_VERSION,
+            peer_versions: peer_versions.collect(),
             weights: state.weights_notices(now),
             kept_stores: kept_stores(&state),
             cached_parts: state.cached_parts.len(),
--- a/src/operator/gateway.rs
+++ b/src/operator/gateway.rs
@@ -53,8 +53,14 @@
         format!("  configuration  {}", format_optional(status.configuration)),
         format!("  store          {store}"),
         format!("  peers          {}", status.peers.join(", ")),
+        format!("  messages       version {}", status.messages_version),
         format!("  cached parts   {}", status.cached_parts),
     ];
+    let older = status.peer_versions.iter();
+    let older = older.filter(|row| row.1 < status.messages_version);
+    lines.extend(older.map(|(address, version)| {
+        format!("  older peer     {address} reads version {version} of messages")
+    }));
     lines.extend(status.weights.iter().map(|announced| {
         let (model, version, age) = (&announced.model, announced.version.0, announced.age_ms.0);
         format!("  weights        {model} {version}, named {age} ms ago")
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -10,6 +10,7 @@
 mod link;
 mod message;
 mod passing;
+mod sections;
 mod server;
 
 pub use {
@@ -23,5 +24,8 @@
         NotTaken, PassFailure, PassLink, PassedAnswer, PassedBody, PassedRequest, PassedResponse,
         SealedPassedAnswer, SealedPassedRequest, SentRequest, decode_headers, encode_headers,
     },
+    sections::{
+        Announcement, NEWEST_VERSION, SECTIONS_VERSION, Section, open_sections, seal_sections,
+    },
     server::{MAX_CONNECTIONS, PeerServer, Taken, TakenRequest, Taker},
 };
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -26,7 +26,7 @@
     std::{fmt, marker::PhantomData, net::SocketAddr},
 };
 
-/// The protocol version.
+/// The version of the messages in this module.
 pub const VERSION: u8 = 1;
 /// The minimum length of the shared key.
 pub const MIN_KEY_BYTES: usize = 32;
@@ -39,6 +39,7 @@
 const REQUEST_KEY_CONTEXT: &str = "cactusspur 2026-12 entry VM to entry VM, ask";
 const PASSED_REQUEST_KEY_CONTEXT: &str = "cactusspur 2026-12 entry VM to entry VM, passed request";
 const PASSED_ANSWER_KEY_CONTEXT: &str = "cactusspur 2026-12 entry VM to entry VM, passed answer";
+const SECTIONS_KEY_CONTEXT: &str = "cactusspur 2026-12 entry VM to entry VM, sections";
 const RESPONSE_KEY_CONTEXT: &str = "cactusspur 2026-12 entry VM to entry VM, answer";
 
 /// The keys that seal messages.
@@ -48,6 +49,7 @@
     response: [u8; blake3::KEY_LEN],
     passed_request: [u8; blake3::KEY_LEN],
     passed_answer: [u8; blake3::KEY_LEN],
+    sections: [u8; blake3::KEY_LEN],
 }
 
 impl fmt::Debug for PeerKey {
@@ -72,6 +74,7 @@
             response: derive(RESPONSE_KEY_CONTEXT),
             passed_request: derive(PASSED_REQUEST_KEY_CONTEXT),
             passed_answer: derive(PASSED_ANSWER_KEY_CONTEXT),
+            sections: derive(SECTIONS_KEY_CONTEXT),
         })
     }
 
@@ -84,6 +87,11 @@
     pub(super) const fn passed_answer(&self) -> &[u8; blake3::KEY_LEN] {
         &self.passed_answer
     }
+
+    /// The key that seals messages that consist of sections.
+    pub(super) const fn sections(&self) -> &[u8; blake3::KEY_LEN] {
+        &self.sections
+    }
 }
 
 /// A message with the fields that all messages have.
@@ -311,7 +319,7 @@
     Ok(envelope)
 }
 
-fn keyed_hash(key: &[u8; blake3::KEY_LEN], version: u8, body: &[u8]) -> blake3::Hash {
+pub(super) fn keyed_hash(key: &[u8; blake3::KEY_LEN], version: u8, body: &[u8]) -> blake3::Hash {
     let mut hasher = blake3::Hasher::new_keyed(key);
     hasher.update(&[version]);
     hasher.update(body);
