--- a/src/peer.rs
+++ b/src/peer.rs
@@ -10,6 +10,7 @@
 mod link;
 mod message;
 mod passing;
+mod sections;
 mod server;
 
 pub use {
@@ -21,7 +22,10 @@
     },
     passing::{
         NotTaken, PassFailure, PassLink, PassedAnswer, PassedBody, PassedRequest, PassedResponse,
-        SentRequest, decode_headers, encode_headers,
+        SealedPassedAnswer, SealedPassedRequest, SentRequest, decode_headers, encode_headers,
+    },
+    sections::{
+        Announcement, NEWEST_VERSION, SECTIONS_VERSION, Section, open_sections, seal_sections,
     },
     server::{MAX_CONNECTIONS, PeerServer, Taken, TakenRequest, Taker},
 };
