Tell which announcement made a request's weights outdated, and who says so

The line of a sent request now has the first newer version, its age, the source of that age and the time in which the request may begin; the status has the source of each age. No decision changes.

--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -36,7 +36,8 @@
         hash_prefixes, rendezvous_score, shared_keys,
     },
     choice::{
-        AnnouncedWeights, Choice, ChoiceContext, Fetch, ModelCall, choose_model, choose_plain,
+        AgeSource, AnnouncedWeights, Choice, ChoiceContext, Fetch, ModelCall, Outdated,
+        choose_model, choose_plain,
     },
     explanation::{Exclusion, ServerStanding, Standing, explain_model, explain_plain},
     overload::{
--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -14,6 +14,8 @@
         id::{WeightsVersion, WorkerId},
         unit::{DurationMs, TimeMs, Tokens},
     },
+    derive_more::Display,
+    serde::{Deserialize, Serialize},
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -84,6 +86,19 @@
     /// The time after which the request may no longer start, since the grace period of its
     /// weights ends; `None` on the newest weights.
     pub limit_ms: Option<DurationMs>,
+    /// What made the weights outdated; `None` on the newest weights.
+    pub outdated: Option<Outdated>,
+}
+
+/// The announcement that made weights outdated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outdated {
+    /// The first newer version.
+    pub by: WeightsVersion,
+    /// How long ago it was announced.
+    pub age_ms: DurationMs,
+    /// Where the age comes from.
+    pub source: AgeSource,
 }
 
 /// The inputs of a choice besides the request.
@@ -117,6 +132,19 @@
     pub learned_at_ms: TimeMs,
     /// How long after `learned_at_ms` a request may still start on older weights.
     pub grace_ms: DurationMs,
+    /// Where `learned_at_ms` comes from.
+    pub source: AgeSource,
+}
+
+/// Where the age of announced weights comes from.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AgeSource {
+    /// This entry VM heard of the announcement.
+    #[display("heard")]
+    Heard,
+    /// A peer told the age.
+    #[display("peer")]
+    Peer,
 }
 
 /// A request to a model.
@@ -174,6 +202,7 @@
         cache_scope: None,
         first_token_ms: DurationMs(0),
         limit_ms: None,
+        outdated: None,
     })
 }
 
--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -4,7 +4,7 @@
     super::{
         backend::Backend,
         cached::{CacheScope, PromptPart, rendezvous_score, shared_keys},
-        choice::{AnnouncedWeights, Choice, ChoiceContext, Fetch, ModelCall},
+        choice::{AnnouncedWeights, Choice, ChoiceContext, Fetch, ModelCall, Outdated},
         pace::nominal_prefill_ms,
         routing::{KeptStore, ServiceSpec},
     },
@@ -69,12 +69,20 @@
     announced: &[AnnouncedWeights],
     now: TimeMs,
 ) -> Option<(DurationMs, DurationMs)> {
-    let newer = announced
-        .iter()
-        .find(|announced| announced.version > weights)?;
+    let newer = first_newer(weights, announced)?;
     Some((now.since(newer.learned_at_ms), newer.grace_ms))
 }
 
+/// The first newer weights that were announced.
+fn first_newer(
+    weights: WeightsVersion,
+    announced: &[AnnouncedWeights],
+) -> Option<&AnnouncedWeights> {
+    announced
+        .iter()
+        .find(|announced| announced.version > weights)
+}
+
 /// Whether a request may still be sent to an engine with these weights.
 pub(super) fn is_permitted(
     weights: WeightsVersion,
@@ -193,6 +201,11 @@
                     .saturating_sub(age)
             },
         ),
+        outdated: first_newer(weights, call.announced).map(|newer| Outdated {
+            by: newer.version,
+            age_ms: context.now.since(newer.learned_at_ms),
+            source: newer.source,
+        }),
     };
     (cost, choice)
 }
--- a/core/tests/gateway/fixture.rs
+++ b/core/tests/gateway/fixture.rs
@@ -4,10 +4,10 @@
     cactusspur_core::{
         DurationMs, TimeMs, Tokens, WeightsVersion, WorkerId,
         gateway::{
-            self, AnnouncedWeights, BackendSpec, BackendTable, CacheGroup, CacheScope, CachedParts,
-            Choice, ChoiceContext, IsolatedSet, KeptStore, Load, ModelCall, PartState, PartUpdate,
-            PromptPart, ServerStanding, ServiceSpec, choose_model, choose_plain, explain_model,
-            explain_plain, hash_prefixes,
+            self, AgeSource, AnnouncedWeights, BackendSpec, BackendTable, CacheGroup, CacheScope,
+            CachedParts, Choice, ChoiceContext, IsolatedSet, KeptStore, Load, ModelCall, PartState,
+            PartUpdate, PromptPart, ServerStanding, ServiceSpec, choose_model, choose_plain,
+            explain_model, explain_plain, hash_prefixes,
         },
     },
     std::net::SocketAddr,
@@ -137,6 +137,7 @@
             version: WeightsVersion(version),
             learned_at_ms: now,
             grace_ms: DurationMs(10_000),
+            source: AgeSource::Heard,
         });
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,9 +18,9 @@
     cactusspur_core::{
         DurationMs, EntryId, TimeMs, VecMap, WeightsVersion, WorkerId,
         gateway::{
-            AnnouncedWeights, Backend, BackendTable, CachedParts, Load, Overload, PartUpdate,
-            PastServices, PastVersion, PastVersions, Quarantine, Reach, RetryBudget, Route,
-            RoutingTable, SoftwareKey, StreamOrigin, StreamOrigins, UsageOrigin, UsageTable,
+            AgeSource, AnnouncedWeights, Backend, BackendTable, CachedParts, Load, Overload,
+            PartUpdate, PastServices, PastVersion, PastVersions, Quarantine, Reach, RetryBudget,
+            Route, RoutingTable, SoftwareKey, StreamOrigin, StreamOrigins, UsageOrigin, UsageTable,
             VersionRecord,
         },
     },
@@ -385,7 +385,7 @@
             return false;
         }
         tracing::info!(model, version = version.0, "weights announced");
-        self.record_announced_weights(model, version, now);
+        self.record_announced_weights(model, version, now, AgeSource::Heard);
         true
     }
 
@@ -396,6 +396,7 @@
         model: &str,
         version: WeightsVersion,
         learned_at_ms: TimeMs,
+        source: AgeSource,
     ) {
         let grace_ms = self.old_weights_grace_ms;
         let known = self
@@ -403,13 +404,18 @@
             .get_or_insert_with(model.to_owned(), Vec::new);
         let found = known.binary_search_by_key(&version, |weights| weights.version);
         match found {
-            Ok(index) => known[index].learned_at_ms = known[index].learned_at_ms.min(learned_at_ms),
+            Ok(index) if learned_at_ms < known[index].learned_at_ms => {
+                known[index].learned_at_ms = learned_at_ms;
+                known[index].source = source;
+            }
+            Ok(_) => {}
             Err(index) => known.insert(
                 index,
                 AnnouncedWeights {
                     version,
                     learned_at_ms,
                     grace_ms,
+                    source,
                 },
             ),
         }
@@ -419,7 +425,7 @@
     }
 
     /// The newest announced weights of each model, with the time since their announcement, for
-    /// notices and the status.
+    /// notices.
     #[must_use]
     pub fn weights_notices(&self, now: TimeMs) -> Vec<WeightsNotice> {
         let rows = self
@@ -615,7 +621,12 @@
         for weights in notices {
             let learned_at_ms = TimeMs(now.0.saturating_sub(weights.age_ms.0));
             if self.newest_weights(&weights.model) >= Some(weights.version) {
-                self.record_announced_weights(&weights.model, weights.version, learned_at_ms);
+                self.record_announced_weights(
+                    &weights.model,
+                    weights.version,
+                    learned_at_ms,
+                    AgeSource::Peer,
+                );
             }
         }
     }
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -1,12 +1,10 @@
 //! The status that a gateway reports to operators.
 
 use {
-    super::{
-        Shared, brittle::BrittleService, clock::now, notice::WeightsNotice, state::GatewayState,
-    },
+    super::{Shared, brittle::BrittleService, clock::now, state::GatewayState},
     cactusspur_core::{
         CustomerId, DurationMs, TimeMs, WeightsVersion,
-        gateway::{Backend, RoutingTable, Suspect, UsageState},
+        gateway::{AgeSource, Backend, RoutingTable, Suspect, UsageState},
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -36,7 +34,7 @@
     /// The names of the other running gateways.
     pub peers: Vec<String>,
     /// The weights that were announced most recently, by model.
-    pub weights: Vec<WeightsNotice>,
+    pub weights: Vec<WeightsStatus>,
     /// The configured KV cache stores.
     pub kept_stores: Vec<KeptStoreStatus>,
     /// The number of prompt parts that are assumed to be cached on some server.
@@ -62,6 +60,20 @@
     pub backends: Vec<BackendStatus>,
 }
 
+/// Weights that were announced.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightsStatus {
+    /// The model's name.
+    pub model: String,
+    /// The announced version.
+    pub version: WeightsVersion,
+    /// The time since the announcement.
+    pub age_ms: DurationMs,
+    /// Where the age comes from; `None` from a gateway that doesn't tell it.
+    #[serde(default)]
+    pub source: Option<AgeSource>,
+}
+
 /// A service that gets more than it can answer in time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OverloadedService {
@@ -143,7 +155,7 @@
                 .collect(),
             store_era: state.replica.era(),
             peers: state.peers.running(now).map(str::to_owned).collect(),
-            weights: state.weights_notices(now),
+            weights: weights(&state, now),
             kept_stores: kept_stores(&state),
             cached_parts: state.cached_parts.len(),
             suspects: state.quarantine.suspects(now),
@@ -187,6 +199,19 @@
     }
 }
 
+fn weights(state: &GatewayState, now: TimeMs) -> Vec<WeightsStatus> {
+    let models = state.announced_weights.iter();
+    let rows = models.flat_map(|(model, announced)| {
+        announced.iter().rev().map(move |weights| WeightsStatus {
+            model: model.clone(),
+            version: weights.version,
+            age_ms: now.since(weights.learned_at_ms),
+            source: Some(weights.source),
+        })
+    });
+    rows.collect()
+}
+
 fn overloaded(state: &GatewayState, now: TimeMs) -> Vec<OverloadedService> {
     let services = state.overload.overloaded(now);
     let rows = services.map(|(service, wait_ms)| OverloadedService {
--- a/src/operator/gateway.rs
+++ b/src/operator/gateway.rs
@@ -57,7 +57,9 @@
     ];
     lines.extend(status.weights.iter().map(|announced| {
         let (model, version, age) = (&announced.model, announced.version.0, announced.age_ms.0);
-        format!("  weights        {model} {version}, named {age} ms ago")
+        let source = announced.source;
+        let source = source.map_or_else(String::new, |source| format!(" ({source})"));
+        format!("  weights        {model} {version}, named {age} ms ago{source}")
     }));
     lines.extend(status.kept_stores.iter().map(|store| {
         let answers = if store.answers { "answers" } else { "silent" };
