--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -1,13 +1,11 @@
 //! The status that a gateway reports to operators.
 
 use {
-    super::{
-        Shared, brittle::BrittleService, clock::now, notice::WeightsNotice, state::GatewayState,
-    },
+    super::{Shared, brittle::BrittleService, clock::now, state::GatewayState},
     crate::peer::NEWEST_VERSION,
     cactusspur_core::{
         CustomerId, DurationMs, TimeMs, WeightsVersion,
-        gateway::{Backend, RoutingTable, Suspect, UsageState},
+        gateway::{AgeSource, Backend, RoutingTable, Suspect, UsageState},
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -44,7 +42,7 @@
     #[serde(default)]
     pub peer_versions: Vec<(SocketAddr, u8)>,
     /// The weights that were announced most recently, by model.
-    pub weights: Vec<WeightsNotice>,
+    pub weights: Vec<WeightsStatus>,
     /// The configured KV cache stores.
     pub kept_stores: Vec<KeptStoreStatus>,
     /// The number of prompt parts that are assumed to be cached on some server.
@@ -70,6 +68,20 @@
     pub backends: Vec<BackendStatus>,
 }
 
+/// Weights that were announced.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightsStatus {
+    /// The model's name.
+    pub model: String,
+    /// The announced version.
+    pub version: WeightsVersion,
+    /// The time since the announcement.
+    pub age_ms: DurationMs,
+    /// Where the age comes from; `None` from a gateway that doesn't tell it.
+    #[serde(default)]
+    pub source: Option<AgeSource>,
+}
+
 /// A service that gets more than it can answer in time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OverloadedService {
@@ -156,7 +168,7 @@
             peers: state.peers.running(now).map(str::to_owned).collect(),
             messages_version: NEWEST_VERSION,
             peer_versions: peer_versions.collect(),
-            weights: state.weights_notices(now),
+            weights: weights(&state, now),
             kept_stores: kept_stores(&state),
             cached_parts: state.cached_parts.len(),
             suspects: state.quarantine.suspects(now),
@@ -200,6 +212,19 @@
     }
 }
 
+fn weights(state: &GatewayState, now: TimeMs) -> Vec<WeightsStatus> {
+    let models = state.announced_weights.iter();
+    let rows = models.flat_map(|(model, announced)| {
+        announced.iter().rev().map(move |weights| WeightsStatus {
+            model: model.clone(),
+            version: weights.version,
+            age_ms: now.since(weights.learned_at_ms),
+            source: Some(weights.source),
+        })
+    });
+    rows.collect()
+}
+
 fn overloaded(state: &GatewayState, now: TimeMs) -> Vec<OverloadedService> {
     let services = state.overload.overloaded(now);
     let rows = services.map(|(service, wait_ms)| OverloadedService {
