Hold no more request bodies than the process has memory for

Cause: each body is collected in memory up to the configured limit, and nothing bounded all of them together. Besides, the frames of a body were collected one by one, which takes forty times its length for a body in chunks of a byte.

Change: a sixth of the memory that the settings name is room for bodies up to 64 KiB, and another sixth for larger ones. A body reserves its room before it is read, so that the connection holds the rest back; without a length it first reserves 64 KiB, then the longest permitted body in place of that. The room is given back with the last reference to the body. After a quarter of the route's target without room the request is refused with 503 and Retry-After. A body that hasn't arrived when the answer is due gets 408; it was read for ever before.

Why it works: no byte of a body is stored without a reservation. No body waits for room while it holds some that another one may wait for. Small bodies have their own room.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -15,6 +15,7 @@
 pub mod lease;
 pub mod link;
 pub mod list_check;
+pub mod memory;
 pub mod notice;
 pub mod overload;
 pub mod passing_on;
@@ -27,6 +28,7 @@
 pub mod relay;
 pub mod removed;
 pub mod replica;
+pub mod request_body;
 pub mod response;
 pub mod server;
 pub mod state;
@@ -42,8 +44,9 @@
 
 use {
     crate::gateway::{
-        clock::now, link::ConnectionPool, list_check::ListChecks, passing_on::PassingOn,
-        peers::PeerGroup, protocol::PlatformProtocol, state::GatewayState, store::MetadataStore,
+        clock::now, link::ConnectionPool, list_check::ListChecks, memory::BodyRoom,
+        passing_on::PassingOn, peers::PeerGroup, protocol::PlatformProtocol, state::GatewayState,
+        store::MetadataStore,
     },
     cactusspur_core::{
         DurationMs, TimeMs,
@@ -100,6 +103,8 @@
     pub contact_limit_ms: DurationMs,
     /// How long the process may take to shut down.
     pub grace_ms: DurationMs,
+    /// The memory that the process may use.
+    pub memory_limit_bytes: usize,
 }
 
 /// The error of a gateway that can't start.
@@ -117,6 +122,8 @@
     pub protocol: Box<dyn PlatformProtocol>,
     /// The pool of connections to backend servers.
     pub connection_pool: ConnectionPool,
+    /// The room for the bodies of requests.
+    pub body_room: BodyRoom,
     /// The configuration, the backend servers and what is known of their caches.
     pub state: RefCell<GatewayState>,
     /// The communication with other gateways.
@@ -191,6 +198,7 @@
         let shared = Rc::new(Shared {
             protocol,
             connection_pool: ConnectionPool::new(),
+            body_room: BodyRoom::for_process(settings.memory_limit_bytes),
             state: RefCell::new(state),
             passing_on: PassingOn::default(),
             peers,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -12,6 +12,7 @@
         overload, passing_on,
         protocol::{ResponseHead, RunClaim},
         quarantine, reach, relay,
+        request_body::{BodyError, BodyReading},
         response::{self, ResponseBody},
         usage, versions, weights,
     },
@@ -19,12 +20,11 @@
     bytes::Bytes,
     cactusspur_core::{
         Cause, DurationMs, Refusal, TimeMs, Verdict, WorkerId,
-        gateway::{Admission, CallKind, Choice, retry_after},
+        gateway::{Admission, CallKind, Choice, Route, retry_after},
     },
     http::{
         Request, Response, StatusCode, header, request::Parts, response::Parts as ResponseParts,
     },
-    http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::Incoming,
     std::{rc::Rc, time::Duration},
     tokio::time::timeout,
@@ -39,6 +39,8 @@
 pub(super) const MAX_CONNECT_FAILURES: usize = 3;
 /// The least remaining time for which another attempt is started.
 pub(super) const MIN_REMAINING_MS: DurationMs = DurationMs(20);
+/// The share of a route's target for which a body waits for room in memory.
+const BODY_WAIT_DIVISOR: u64 = 4;
 /// How long an idempotent request waits for one server's response before it is sent to another one,
 /// in percent of the route's target. The last permitted attempt may use all remaining time.
 const NON_FINAL_ATTEMPT_PERCENT: u64 = 80;
@@ -64,21 +66,26 @@
     };
     // Checked before the body is read, and again after it, since reading may take long and the
     // configuration may change in the meantime.
-    match admit(&routing, &parts, &head) {
+    let (route, answer_by_ms) = match admit(&routing, &parts, &head) {
         Ok((route, _)) => {
             let answer_by_ms = received_at_ms.after(time_limit_ms(&head, &route));
             if !takes_until(&shared, answer_by_ms) {
                 return refuse_shutting_down(&head.request_id, &route.name);
             }
+            (route, answer_by_ms)
         }
         Err(error) => return reject(&shared, error, &head.request_id, &parts, routing.version),
-    }
-    let body = match read_body(body, routing.limits.max_body_bytes).await {
+    };
+    let reading = BodyReading {
+        body,
+        max_bytes: routing.limits.max_body_bytes,
+        wait_ms: DurationMs(route.target_ms.0 / BODY_WAIT_DIVISOR),
+    };
+    let limit = Duration::from_millis(answer_by_ms.since(now()).0);
+    let read = timeout(limit, reading.read(&shared.body_room)).await;
+    let body = match read.unwrap_or(Err(BodyError::Late)) {
         Ok(body) => body,
-        Err(status) => {
-            tracing::info!(request = head.request_id, %status, "failed to read the request body");
-            return response::empty(status);
-        }
+        Err(error) => return refuse_body(&head.request_id, &route, error),
     };
     let routing = ready_routing(&shared).unwrap_or(routing);
     let (route, customer) = match admit(&routing, &parts, &head) {
@@ -270,6 +277,26 @@
     response::empty(status)
 }
 
+/// Logs why a request's body was not read and returns the response for it.
+fn refuse_body(request: &str, route: &Route, error: BodyError) -> Response<ResponseBody> {
+    metrics::counter!("cactusspur_bodies_refused_total", "reason" => error.reason()).increment(1);
+    let status = match error {
+        BodyError::NoRoom => {
+            let refusal = Refusal {
+                verdict: Verdict::NotRun,
+                cause: Cause::Overload,
+                retry_after_ms: route.target_ms,
+            };
+            return refuse(request, &route.name, &refusal, &error.to_string());
+        }
+        BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::Late => StatusCode::REQUEST_TIMEOUT,
+        BodyError::Broken => StatusCode::BAD_REQUEST,
+    };
+    tracing::info!(request, %status, %error, "failed to read the request body");
+    response::empty(status)
+}
+
 /// Logs a refusal and returns the response for it.
 fn refuse(request: &str, route: &str, refusal: &Refusal, why: &str) -> Response<ResponseBody> {
     tracing::info!(
@@ -279,15 +306,6 @@
     response::from_refusal(refusal)
 }
 
-/// Reads a request body of at most `max_bytes`. The error is the status to respond with.
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, StatusCode> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(_) => Err(StatusCode::BAD_REQUEST),
-    }
-}
-
 /// The outcome of one attempt to have a request served.
 enum Outcome {
     /// The response for the caller.
--- /dev/null
+++ b/src/gateway/memory.rs
@@ -0,0 +1,81 @@
+//! Limits on the bytes of requests that a process holds in memory.
+
+use {
+    bytes::Bytes,
+    std::sync::Arc,
+    tokio::sync::{OwnedSemaphorePermit, Semaphore},
+};
+
+/// The largest body for which there is room apart from that of larger ones, in bytes.
+pub const MAX_SMALL_BODY_BYTES: usize = 65_536;
+/// The unit in which room is reserved, in bytes.
+const UNIT_BYTES: usize = 1_024;
+/// The share of a process's memory for small bodies, and again for larger ones.
+const BODIES_DIVISOR: usize = 6;
+
+/// The room for request bodies in a process. Small bodies don't wait for large ones.
+#[derive(Clone, Debug)]
+pub struct BodyRoom {
+    small: Arc<Semaphore>,
+    large: Arc<Semaphore>,
+    units: usize,
+}
+
+impl BodyRoom {
+    /// The room in a process that may use `memory_bytes`.
+    #[must_use]
+    pub fn for_process(memory_bytes: usize) -> Self {
+        let units = memory_bytes / BODIES_DIVISOR / UNIT_BYTES;
+        Self {
+            small: Arc::new(Semaphore::new(units)),
+            large: Arc::new(Semaphore::new(units)),
+            units,
+        }
+    }
+
+    /// Waits for room for a body of `bytes`. A body that is larger than the whole room waits for all of it.
+    pub async fn reserve(&self, bytes: usize) -> Option<Reservation> {
+        let room = if bytes <= MAX_SMALL_BODY_BYTES {
+            &self.small
+        } else {
+            &self.large
+        };
+        let units = u32::try_from(bytes.div_ceil(UNIT_BYTES).min(self.units)).ok()?;
+        let permit = Arc::clone(room).acquire_many_owned(units).await;
+        // The semaphores are never closed.
+        permit.ok().map(|permit| Reservation { permit })
+    }
+}
+
+/// Reserved room for a body.
+#[derive(Debug)]
+pub struct Reservation {
+    permit: OwnedSemaphorePermit,
+}
+
+impl Reservation {
+    /// Makes a body that gives its room back when the last reference to it is dropped, and what it doesn't need
+    /// at once.
+    #[must_use]
+    pub fn hold(mut self, mut bytes: Vec<u8>) -> Bytes {
+        bytes.shrink_to_fit();
+        let unneeded = self
+            .permit
+            .num_permits()
+            .saturating_sub(bytes.len().div_ceil(UNIT_BYTES));
+        drop(self.permit.split(unneeded));
+        Bytes::from_owner(HeldBody { bytes, _room: self })
+    }
+}
+
+/// A body with the room that is reserved for it.
+struct HeldBody {
+    bytes: Vec<u8>,
+    _room: Reservation,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/tests/gateway_state.rs
+++ b/tests/gateway_state.rs
@@ -62,6 +62,7 @@
         handover_pause_ms: DurationMs(3_300),
         contact_limit_ms: DurationMs(3_000),
         grace_ms: DurationMs(8_000),
+        memory_limit_bytes: 88_000_000,
     };
     let mut state = GatewayState::new(&settings);
     state.backends.upsert(spec(1, 1));
