--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -197,7 +197,9 @@
         let (list_checks, awaited_checks) = mpsc::unbounded_channel();
         let shared = Rc::new(Shared {
             protocol,
-            connection_pool: ConnectionPool::new(),
+            connection_pool: ConnectionPool::with_limit(memory::answer_bytes(
+                settings.memory_limit_bytes,
+            )),
             body_room: BodyRoom::for_process(settings.memory_limit_bytes),
             state: RefCell::new(state),
             passing_on: PassingOn::default(),
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -4,8 +4,11 @@
 //! failure. A connection returns to the pool only after a complete response.
 
 use {
-    crate::gateway::clock::now,
-    bytes::{Bytes, BytesMut},
+    crate::gateway::{
+        clock::now,
+        memory::{ByteCounter, CountedBuffer},
+    },
+    bytes::Bytes,
     cactusspur_core::{DurationMs, TimeMs, VecMap, Verdict},
     derive_more::{Display, Error},
     futures::future::{AbortHandle, abortable},
@@ -54,8 +57,10 @@
 const MAX_BYTES_WITHOUT_PROGRESS: usize = 65_536;
 /// The bytes that each response may buffer, however many others there are.
 pub const MAX_UNSHARED_BUFFER_BYTES: usize = 65_536;
-/// The bytes that all responses may buffer together beyond that.
+/// The bytes that all responses of a pool without another limit may buffer together beyond that.
 pub const MAX_SHARED_BUFFER_BYTES: usize = 16 * 1_024 * 1_024;
+/// The bytes that each response may buffer when all buffer twice what they may together.
+const MAX_CROWDED_BUFFER_BYTES: usize = 4_096;
 
 /// Why an exchange failed, and whether the request may have run.
 #[derive(Clone, Debug, Display, Error)]
@@ -159,38 +164,16 @@
 }
 
 /// A pool of connections for use on one thread. Clones share the same pool.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ConnectionPool {
     idle: Rc<RefCell<VecMap<SocketAddr, Vec<IdleConnection>>>>,
-    buffered_bytes: Rc<Cell<usize>>,
-}
-
-/// The bytes of a body that are buffered while it is read.
-struct BodyBuffer {
-    bytes: BytesMut,
-    total: Rc<Cell<usize>>,
+    buffered: ByteCounter,
+    max_shared_bytes: usize,
 }
 
-impl BodyBuffer {
-    fn push(&mut self, data: &[u8], max_bytes: usize) -> Result<(), String> {
-        self.bytes.extend_from_slice(data);
-        self.total.set(self.total.get() + data.len());
-        let length = self.bytes.len();
-        if length > max_bytes {
-            return Err(format!("the response is longer than {max_bytes} bytes"));
-        }
-        if length > MAX_UNSHARED_BUFFER_BYTES && self.total.get() > MAX_SHARED_BUFFER_BYTES {
-            return Err(format!(
-                "no room for more than {length} bytes of the response"
-            ));
-        }
-        Ok(())
-    }
-}
-
-impl Drop for BodyBuffer {
-    fn drop(&mut self) {
-        self.total.set(self.total.get() - self.bytes.len());
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self::with_limit(MAX_SHARED_BUFFER_BYTES)
     }
 }
 
@@ -212,10 +195,43 @@
         Self::default()
     }
 
-    /// The bytes of responses that are buffered while they are read.
+    /// Creates an empty pool whose responses may buffer `max_shared_bytes` together, beyond what each may in any
+    /// case.
+    #[must_use]
+    pub fn with_limit(max_shared_bytes: usize) -> Self {
+        Self {
+            idle: Rc::default(),
+            buffered: ByteCounter::default(),
+            max_shared_bytes,
+        }
+    }
+
+    /// The bytes of response bodies that are in memory, until they are dropped.
     #[must_use]
     pub fn buffered_bytes(&self) -> usize {
-        self.buffered_bytes.get()
+        self.buffered.bytes()
+    }
+
+    /// Appends bytes to the body of a response.
+    fn push(
+        &self,
+        buffer: &mut CountedBuffer,
+        data: &[u8],
+        max_bytes: usize,
+    ) -> Result<(), String> {
+        buffer.extend(data);
+        let (length, total) = (buffer.len(), self.buffered.bytes());
+        if length > max_bytes {
+            return Err(format!("the response is longer than {max_bytes} bytes"));
+        }
+        let is_full = length > MAX_UNSHARED_BUFFER_BYTES && total > self.max_shared_bytes;
+        let is_crowded = length > MAX_CROWDED_BUFFER_BYTES && total > 2 * self.max_shared_bytes;
+        if is_full || is_crowded {
+            return Err(format!(
+                "no room for more than {length} bytes of the response"
+            ));
+        }
+        Ok(())
     }
 
     /// Sends a request and waits for the head of the response. Dropping the future closes the
@@ -374,26 +390,23 @@
         };
         let has_known_end = self.has_known_end();
         let mut body = self.body;
-        let mut buffer = BodyBuffer {
-            bytes: BytesMut::new(),
-            total: Rc::clone(&pool.buffered_bytes),
-        };
+        let mut buffer = pool.buffered.buffer();
         while let Some(frame) = body.frame().await {
             let frame =
                 frame.map_err(|error| broken(format!("the response ended early: {error}")))?;
             self.connection.record_progress();
             if let Ok(data) = frame.into_data() {
-                buffer.push(&data, max_bytes).map_err(broken)?;
+                pool.push(&mut buffer, &data, max_bytes).map_err(broken)?;
             }
         }
         // Nothing tells the end of such an answer from that of its server.
-        if !has_known_end && buffer.bytes.is_empty() && self.head.status.is_success() {
+        if !has_known_end && buffer.is_empty() && self.head.status.is_success() {
             return Err(broken(
                 "the connection ended right after the head".to_owned(),
             ));
         }
         pool.release(self.connection, self.keep_ms);
-        Ok((self.head, Bytes::copy_from_slice(&buffer.bytes)))
+        Ok((self.head, buffer.freeze()))
     }
 
     /// Splits the response into head, body, connection and keep time, for a body that is read as a
--- a/src/gateway/memory.rs
+++ b/src/gateway/memory.rs
@@ -1,8 +1,11 @@
-//! Limits on the bytes of requests that a process holds in memory.
+//! Limits on the bytes of requests and answers that a process holds in memory.
 
 use {
     bytes::Bytes,
-    std::sync::Arc,
+    std::sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     tokio::sync::{OwnedSemaphorePermit, Semaphore},
 };
 
@@ -12,6 +15,10 @@
 const UNIT_BYTES: usize = 1_024;
 /// The share of a process's memory for small bodies, and again for larger ones.
 const BODIES_DIVISOR: usize = 6;
+/// The share of a process's memory for answers.
+const ANSWERS_DIVISOR: usize = 8;
+/// The share of its length by which a full buffer grows.
+const GROWTH_DIVISOR: usize = 4;
 
 /// The room for request bodies in a process. Small bodies don't wait for large ones.
 #[derive(Clone, Debug)]
@@ -79,3 +86,84 @@
         &self.bytes
     }
 }
+
+/// The bytes that all answers of a process that may use `memory_bytes` may hold together.
+#[must_use]
+pub const fn answer_bytes(memory_bytes: usize) -> usize {
+    memory_bytes / ANSWERS_DIVISOR
+}
+
+/// Counts the bytes of buffers.
+#[derive(Clone, Debug, Default)]
+pub struct ByteCounter {
+    total: Arc<AtomicUsize>,
+}
+
+impl ByteCounter {
+    /// The bytes in all buffers.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.total.load(Ordering::Relaxed)
+    }
+
+    /// An empty buffer whose bytes are counted.
+    #[must_use]
+    pub fn buffer(&self) -> CountedBuffer {
+        CountedBuffer {
+            bytes: Vec::new(),
+            total: self.clone(),
+        }
+    }
+}
+
+/// A buffer whose bytes are counted as long as they are in memory.
+#[derive(Debug)]
+pub struct CountedBuffer {
+    bytes: Vec<u8>,
+    total: ByteCounter,
+}
+
+impl CountedBuffer {
+    /// Appends bytes.
+    pub fn extend(&mut self, data: &[u8]) {
+        let length = self.bytes.len();
+        if length + data.len() > self.bytes.capacity() {
+            let growth = data.len().max(length / GROWTH_DIVISOR);
+            self.bytes.reserve_exact(growth);
+        }
+        self.bytes.extend_from_slice(data);
+        self.total.total.fetch_add(data.len(), Ordering::Relaxed);
+    }
+
+    /// The number of bytes in the buffer.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Whether the buffer has no bytes.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// The bytes of the buffer, which count until the last reference to them is dropped.
+    #[must_use]
+    pub fn freeze(mut self) -> Bytes {
+        self.bytes.shrink_to_fit();
+        Bytes::from_owner(self)
+    }
+}
+
+impl AsRef<[u8]> for CountedBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for CountedBuffer {
+    fn drop(&mut self) {
+        let length = self.bytes.len();
+        self.total.total.fetch_sub(length, Ordering::Relaxed);
+    }
+}
