--- a/core/src/gateway.rs
+++ b/core/src/gateway.rs
@@ -5,6 +5,7 @@
 //! the `gateway` module of the crate `cactusspur`.
 
 pub mod admission;
+pub mod announcement;
 pub mod backend;
 pub mod budget;
 pub mod cached;
@@ -29,16 +30,14 @@
 
 pub use {
     admission::{TooLate, check_in_time, retry_after},
+    announcement::{AgeSource, AnnouncedAt, AnnouncedWeights, Announcements, outdated},
     backend::{Backend, BackendSpec, BackendTable, Load, SoftwareVersion},
     budget::{RetryBudget, RetryBudgetLimits},
     cached::{
         CacheGroup, CacheScope, CachedParts, IsolatedSet, PartState, PartUpdate, PromptPart,
         hash_prefixes, rendezvous_score, shared_keys,
     },
-    choice::{
-        AgeSource, AnnouncedWeights, Choice, ChoiceContext, Fetch, ModelCall, Outdated,
-        choose_model, choose_plain,
-    },
+    choice::{Choice, ChoiceContext, Fetch, ModelCall, choose_model, choose_plain},
     explanation::{Exclusion, ServerStanding, Standing, explain_model, explain_plain},
     overload::{
         Applicant, AwaitedId, Decision, Outlook, Overload, OverloadChange, RatioPermille,
--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        announcement::{AnnouncedAt, AnnouncedWeights},
         backend::{Backend, BackendTable, MAX_FAILURE_PERMILLE},
         cached::{CacheGroup, CacheScope, CachedParts, PromptPart, rendezvous_score},
         explanation::{Exclusion, wait_exclusion},
@@ -14,8 +15,6 @@
         id::{WeightsVersion, WorkerId},
         unit::{DurationMs, TimeMs, Tokens},
     },
-    derive_more::Display,
-    serde::{Deserialize, Serialize},
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -86,19 +85,8 @@
     /// The time after which the request may no longer start, since the grace period of its
     /// weights ends; `None` on the newest weights.
     pub limit_ms: Option<DurationMs>,
-    /// What made the weights outdated; `None` on the newest weights.
-    pub outdated: Option<Outdated>,
-}
-
-/// The announcement that made weights outdated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Outdated {
-    /// The first newer version.
-    pub by: WeightsVersion,
-    /// How long ago it was announced.
-    pub age_ms: DurationMs,
-    /// Where the age comes from.
-    pub source: AgeSource,
+    /// The first newer version and when it was announced; `None` on the newest weights.
+    pub outdated: Option<(WeightsVersion, AnnouncedAt)>,
 }
 
 /// The inputs of a choice besides the request.
@@ -123,30 +111,6 @@
     pub now: TimeMs,
 }
 
-/// A weights version that was announced for a model.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AnnouncedWeights {
-    /// The announced version.
-    pub version: WeightsVersion,
-    /// When this entry VM learned of the announcement.
-    pub learned_at_ms: TimeMs,
-    /// How long after `learned_at_ms` a request may still start on older weights.
-    pub grace_ms: DurationMs,
-    /// Where `learned_at_ms` comes from.
-    pub source: AgeSource,
-}
-
-/// Where the age of announced weights comes from.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
-pub enum AgeSource {
-    /// This entry VM heard of the announcement.
-    #[display("heard")]
-    Heard,
-    /// A peer told the age.
-    #[display("peer")]
-    Peer,
-}
-
 /// A request to a model.
 #[derive(Clone, Copy, Debug)]
 pub struct ModelCall<'a> {
--- a/core/src/gateway/explanation.rs
+++ b/core/src/gateway/explanation.rs
@@ -4,6 +4,7 @@
 
 use {
     super::{
+        announcement::{AnnouncedAt, outdated},
         backend::Backend,
         choice::{
             Choice, ChoiceContext, ModelCall, choose_near_home, choose_plain, ranked_engines,
@@ -65,6 +66,9 @@
     /// The grace period of the server's weights has ended.
     #[display("weights too old")]
     OutdatedWeights,
+    /// Newer weights were announced at an unknown time.
+    #[display("weights of unknown age")]
+    UnknownAge,
 }
 
 /// How a server stands in the choice for a request.
@@ -178,11 +182,15 @@
     if !backend.takes_requests(context.now) {
         return Exclusion::LoadingWeights;
     }
-    let has_model = call.is_none_or(|call| backend.weights(call.model).is_some());
-    if has_model {
-        Exclusion::OutdatedWeights
-    } else {
-        Exclusion::NoModel
+    let Some(call) = call else {
+        return Exclusion::OutdatedWeights;
+    };
+    let Some(weights) = backend.weights(call.model) else {
+        return Exclusion::NoModel;
+    };
+    match outdated(weights, call.announced) {
+        Some(outdated) if outdated.at == AnnouncedAt::Unknown => Exclusion::UnknownAge,
+        _ => Exclusion::OutdatedWeights,
     }
 }
 
--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
+        announcement::{AnnouncedWeights, outdated},
         backend::Backend,
         cached::{CacheScope, PromptPart, rendezvous_score, shared_keys},
-        choice::{AnnouncedWeights, Choice, ChoiceContext, Fetch, ModelCall, Outdated},
+        choice::{Choice, ChoiceContext, Fetch, ModelCall},
         pace::nominal_prefill_ms,
         routing::{KeptStore, ServiceSpec},
     },
@@ -62,35 +63,18 @@
 /// Cost of each decode-heavy request above that share of the slots.
 const DECODE_OVERLOAD_COST_MS: u64 = 12;
 
-/// How long ago the first newer weights were announced, and the grace period that they left for
-/// older ones; `None` if there are no newer weights.
-fn outdated_since_and_grace(
-    weights: WeightsVersion,
-    announced: &[AnnouncedWeights],
-    now: TimeMs,
-) -> Option<(DurationMs, DurationMs)> {
-    let newer = first_newer(weights, announced)?;
-    Some((now.since(newer.learned_at_ms), newer.grace_ms))
-}
-
-/// The first newer weights that were announced.
-fn first_newer(
-    weights: WeightsVersion,
-    announced: &[AnnouncedWeights],
-) -> Option<&AnnouncedWeights> {
-    announced
-        .iter()
-        .find(|announced| announced.version > weights)
-}
-
-/// Whether a request may still be sent to an engine with these weights.
+/// Whether a request may still be sent to an engine with these weights. Weights that were outdated at an unknown
+/// time are past their grace period.
 pub(super) fn is_permitted(
     weights: WeightsVersion,
     announced: &[AnnouncedWeights],
     now: TimeMs,
 ) -> bool {
-    outdated_since_and_grace(weights, announced, now)
-        .is_none_or(|(age, grace)| age < grace.saturating_sub(OLD_WEIGHTS_MARGIN_MS))
+    outdated(weights, announced).is_none_or(|outdated| {
+        let last_ms = outdated.grace_ms.saturating_sub(OLD_WEIGHTS_MARGIN_MS);
+        let age_ms = outdated.at.age_ms(now);
+        age_ms.is_some_and(|age_ms| age_ms < last_ms)
+    })
 }
 
 /// An engine that is eligible for a request.
@@ -135,6 +119,7 @@
         weights,
         ..
     } = *engine;
+    let outdated = outdated(weights, call.announced);
     let keys = call.shared_keys(weights);
     let shared = keys.len();
     let held = context.cached.cached_len(&keys, worker, context.now);
@@ -175,7 +160,7 @@
         + other_streams_cost
         + added * CACHE_FILL_COST_MS_PER_THOUSAND / 1_000
         + placement_cost
-        + old_weights_cost(weights, call.announced, context.now)
+        + old_weights_cost(outdated, context.now)
         + context.server_cost(backend);
     let choice = Choice {
         worker,
@@ -194,18 +179,14 @@
         weights: Some(weights),
         cache_scope: Some(call.cache_scope(weights)),
         first_token_ms: DurationMs(first_token_ms),
-        limit_ms: outdated_since_and_grace(weights, call.announced, context.now).map(
-            |(age, grace)| {
-                grace
-                    .saturating_sub(OLD_WEIGHTS_DEADLINE_MARGIN_MS)
-                    .saturating_sub(age)
-            },
-        ),
-        outdated: first_newer(weights, call.announced).map(|newer| Outdated {
-            by: newer.version,
-            age_ms: context.now.since(newer.learned_at_ms),
-            source: newer.source,
+        limit_ms: outdated.map(|outdated| {
+            let limit_ms = outdated
+                .grace_ms
+                .saturating_sub(OLD_WEIGHTS_DEADLINE_MARGIN_MS);
+            let age_ms = outdated.at.age_ms(context.now);
+            age_ms.map_or(DurationMs(0), |age_ms| limit_ms.saturating_sub(age_ms))
         }),
+        outdated: outdated.map(|outdated| (outdated.version, outdated.at)),
     };
     (cost, choice)
 }
@@ -351,9 +332,14 @@
     bits / (service.link_mbps.max(1) * 1_000)
 }
 
-fn old_weights_cost(weights: WeightsVersion, announced: &[AnnouncedWeights], now: TimeMs) -> u64 {
-    match outdated_since_and_grace(weights, announced, now) {
-        Some((age, _)) if age >= OLD_WEIGHTS_FREE_MS => OLD_WEIGHTS_COST_MS,
+fn old_weights_cost(outdated: Option<AnnouncedWeights>, now: TimeMs) -> u64 {
+    // The bound of the age is earlier than what this entry VM saw.
+    let age_ms = outdated.and_then(|outdated| {
+        let heard_ms = outdated.heard_at_ms.map(|at_ms| now.since(at_ms));
+        heard_ms.or_else(|| outdated.at.age_ms(now))
+    });
+    match age_ms {
+        Some(age_ms) if age_ms >= OLD_WEIGHTS_FREE_MS => OLD_WEIGHTS_COST_MS,
         _ => 0,
     }
 }
--- a/core/tests/gateway/fixture.rs
+++ b/core/tests/gateway/fixture.rs
@@ -4,10 +4,10 @@
     cactusspur_core::{
         DurationMs, TimeMs, Tokens, WeightsVersion, WorkerId,
         gateway::{
-            self, AgeSource, AnnouncedWeights, BackendSpec, BackendTable, CacheGroup, CacheScope,
-            CachedParts, Choice, ChoiceContext, IsolatedSet, KeptStore, Load, ModelCall, PartState,
-            PartUpdate, PromptPart, ServerStanding, ServiceSpec, choose_model, choose_plain,
-            explain_model, explain_plain, hash_prefixes,
+            self, AgeSource, AnnouncedAt, AnnouncedWeights, BackendSpec, BackendTable, CacheGroup,
+            CacheScope, CachedParts, Choice, ChoiceContext, IsolatedSet, KeptStore, Load,
+            ModelCall, PartState, PartUpdate, PromptPart, ServerStanding, ServiceSpec,
+            choose_model, choose_plain, explain_model, explain_plain, hash_prefixes,
         },
     },
     std::net::SocketAddr,
@@ -135,9 +135,13 @@
     pub fn announce(&mut self, version: u64, now: TimeMs) {
         self.announced.push(AnnouncedWeights {
             version: WeightsVersion(version),
-            learned_at_ms: now,
+            follows: WeightsVersion(version - 1),
+            at: AnnouncedAt::NotBefore {
+                at_ms: now,
+                source: AgeSource::Store,
+            },
+            heard_at_ms: Some(now),
             grace_ms: DurationMs(10_000),
-            source: AgeSource::Heard,
         });
     }
 
--- a/core/tests/gateway/main.rs
+++ b/core/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's routing decisions, which run without a network.
 
 mod admission;
+mod announcement;
 mod budget;
 mod cached;
 mod explanation;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -39,6 +39,7 @@
 pub mod versions;
 pub mod watch;
 pub mod weights;
+pub mod weights_records;
 
 use {
     crate::gateway::{
@@ -145,6 +146,8 @@
     pub is_usage_report_due: Cell<bool>,
     /// Notified when weights are announced and when an engine is added or changed.
     pub weights_changed: Notify,
+    /// Notified at the same time, for the records of ages.
+    pub weights_ages_changed: Notify,
 }
 
 impl Shared {
@@ -205,6 +208,7 @@
             list_checks,
             is_usage_report_due: Cell::new(false),
             weights_changed: Notify::new(),
+            weights_ages_changed: Notify::new(),
             settings,
         });
         let store = Rc::new(store);
@@ -213,6 +217,7 @@
         list_check::spawn(&shared, &store, awaited_checks);
         weights::spawn(&shared, &store);
         version_records::spawn(&shared, &store);
+        weights_records::spawn(&shared, &store);
         kept_stores::spawn(&shared);
         server::spawn_readiness(&shared).await?;
         server::spawn_metrics(&shared).await?;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -15,10 +15,11 @@
     cactusspur_core::{
         DurationMs, TimeMs, Verdict, WorkerId,
         gateway::{
-            CacheGroup, CallKind, Choice, ChoiceContext, CustomerSpec, Fetch, KeptStore, ModelCall,
-            Pace, PartState, PartUpdate, RequestContent, RequestDigest, RequestIdentity, Route,
-            RoutingTable, ServerStanding, ServiceSpec, SoftwareKey, StreamKey, choose_model,
-            choose_plain, explain_model, explain_plain, hash_prefixes, shared_keys, shared_parts,
+            Announcements, CacheGroup, CallKind, Choice, ChoiceContext, CustomerSpec, Fetch,
+            KeptStore, ModelCall, Pace, PartState, PartUpdate, RequestContent, RequestDigest,
+            RequestIdentity, Route, RoutingTable, ServerStanding, ServiceSpec, SoftwareKey,
+            StreamKey, choose_model, choose_plain, explain_model, explain_plain, hash_prefixes,
+            shared_keys, shared_parts,
         },
     },
     http::{HeaderMap, Method, Request, Uri, uri::PathAndQuery},
@@ -427,7 +428,7 @@
                     event_gap_ms: self.route.event_gap_ms.unwrap_or(self.route.target_ms),
                     prefix_hashes: &self.prefix_hashes,
                     kept_stores: &stores,
-                    announced: announced.map_or(&[], Vec::as_slice),
+                    announced: announced.map_or(&[], Announcements::versions),
                 };
                 decide(&context, Some((service, &call)))
             }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -711,9 +711,9 @@
     tracing::info!(
         request = call.head.request_id, route = call.route.name, worker = %choice.worker,
         configuration = call.routing.version, weights = choice.weights.map(|weights| weights.0),
-        outdated_by = choice.outdated.map(|outdated| outdated.by.0),
-        outdated_ms = choice.outdated.map(|outdated| outdated.age_ms.0),
-        age_source = choice.outdated.map(|outdated| tracing::field::display(outdated.source)),
+        outdated_by = choice.outdated.map(|outdated| outdated.0.0),
+        outdated_ms = choice.outdated.and_then(|outdated| outdated.1.age_ms(now())).map(|age_ms| age_ms.0),
+        age_source = choice.outdated.and_then(|outdated| outdated.1.source()).map(tracing::field::display),
         begin_within_ms = choice.limit_ms.map(|limit| limit.0),
         fetch = ?choice.fetch, unread = choice.prefill_tokens.0, unread_shared = choice.shared_prefill_tokens.0,
         unread_again = choice.recomputed_tokens.0,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,10 +18,10 @@
     cactusspur_core::{
         DurationMs, EntryId, TimeMs, VecMap, WeightsVersion, WorkerId,
         gateway::{
-            AgeSource, AnnouncedWeights, Backend, BackendTable, CachedParts, Load, Overload,
-            PartUpdate, PastServices, PastVersion, PastVersions, Quarantine, Reach, RetryBudget,
-            Route, RoutingTable, SoftwareKey, StreamOrigin, StreamOrigins, UsageOrigin, UsageTable,
-            VersionRecord,
+            AgeSource, AnnouncedAt, Announcements, Backend, BackendTable, CachedParts, Load,
+            Overload, PartUpdate, PastServices, PastVersion, PastVersions, Quarantine, Reach,
+            RetryBudget, Route, RoutingTable, SoftwareKey, StreamOrigin, StreamOrigins,
+            UsageOrigin, UsageTable, VersionRecord,
         },
     },
     std::rc::Rc,
@@ -35,12 +35,6 @@
 const RECENT_OUTAGE_MS: DurationMs = DurationMs(3_000);
 /// The time that a store takes to remove the row of a server beyond the server's time limit.
 const ROW_REMOVAL_MARGIN_MS: DurationMs = DurationMs(900);
-/// Announced weights versions that are kept for each model. Older ones would matter only to engines
-/// that are further behind than is permitted.
-const MAX_ANNOUNCED_WEIGHTS: usize = 32;
-/// Announced weights versions in a notice for each model. Older ones hardly matter to a peer that
-/// has just started.
-const MAX_NOTICE_WEIGHTS: usize = 6;
 /// How long an engine counts as draining or loading after the last notice of the order lease's
 /// holder that says so.
 const ROLLOUT_STATE_TTL_MS: DurationMs = DurationMs(500);
@@ -75,8 +69,10 @@
     pub retry_budget: RetryBudget,
     /// The use of customers with caps.
     pub usage: UsageTable,
-    /// The weights that were announced, oldest version first, by model.
-    pub announced_weights: VecMap<String, Vec<AnnouncedWeights>>,
+    /// The weights that were announced, by model.
+    pub announced_weights: VecMap<String, Announcements>,
+    /// Until when the rows of each watched table are known, by the answers of the store.
+    known_until: VecMap<String, TimeMs>,
     /// The state of the KV cache stores.
     pub kept_stores: KeptStoreStates,
     /// Whether no gateway had registered in the store when this one did first.
@@ -105,7 +101,8 @@
     pub collector: Collector,
     /// When another gateway last announced that it is rolling out weights.
     pub peer_rollout_at_ms: Option<TimeMs>,
-    old_weights_grace_ms: DurationMs,
+    /// How long after new weights are announced a request may still start on older ones.
+    pub old_weights_grace_ms: DurationMs,
     store_failed_at_ms: Option<TimeMs>,
     store_answered_at_ms: Option<TimeMs>,
     vanished_backends: VecMap<WorkerId, TimeMs>,
@@ -144,6 +141,7 @@
                 now(),
             ),
             announced_weights: VecMap::default(),
+            known_until: VecMap::default(),
             kept_stores: KeptStoreStates::default(),
             is_first_gateway: false,
             stream_origins: StreamOrigins::default(),
@@ -243,13 +241,15 @@
 
     /// Applies new rows of a table. Returns whether a backend server or announced weights have
     /// changed. Restored rows come from a store that has returned from a backup: a server that was
-    /// removed in the meantime is used again only when its row stays.
+    /// removed in the meantime is used again only when its row stays. Until `unchanged_until` the rows had
+    /// not changed.
     pub fn apply_rows(
         &mut self,
         protocol: &dyn PlatformProtocol,
         table: &str,
         rows: &[StoredRow],
         is_restored: bool,
+        unchanged_until: AnnouncedAt,
         now: TimeMs,
     ) -> bool {
         let mut changed = false;
@@ -260,7 +260,7 @@
             changed |= match &row.value {
                 Some(value) => {
                     let update = protocol.parse_row(table, &row.key, value);
-                    self.apply_update(protocol, table, row, update, now)
+                    self.apply_update(protocol, table, row, update, unchanged_until, now)
                 }
                 None => self.remove_row(protocol, table, row, now),
             };
@@ -298,7 +298,14 @@
         let due = self.removed_backends.take_due(now);
         for doubtful in &due {
             let rows = std::slice::from_ref(&doubtful.row);
-            self.apply_rows(protocol, &doubtful.table, rows, false, now);
+            self.apply_rows(
+                protocol,
+                &doubtful.table,
+                rows,
+                false,
+                AnnouncedAt::Unknown,
+                now,
+            );
         }
         !due.is_empty()
     }
@@ -311,6 +318,7 @@
         table: &str,
         row: &StoredRow,
         update: Option<RowUpdate>,
+        unchanged_until: AnnouncedAt,
         now: TimeMs,
     ) -> bool {
         match update {
@@ -318,7 +326,9 @@
                 self.apply_routing(*routing, row.version, now);
                 false
             }
-            Some(RowUpdate::Weights { model, version }) => self.apply_weights(&model, version, now),
+            Some(RowUpdate::Weights { model, version }) => {
+                self.apply_weights(&model, version, unchanged_until, now)
+            }
             Some(RowUpdate::Backend(spec)) => {
                 let worker = WorkerId::from_name(&spec.instance);
                 self.vanished_backends.remove(&worker);
@@ -379,64 +389,80 @@
         self.routing = Some(Rc::new(routing));
     }
 
-    /// Records weights that are newer than all known ones. Returns whether they are.
-    fn apply_weights(&mut self, model: &str, version: WeightsVersion, now: TimeMs) -> bool {
-        if self.newest_weights(model) >= Some(version) {
-            return false;
+    /// Records weights that the store names. Until the moment in `unchanged_until` it named none that are newer
+    /// than the known ones. Returns whether they are newer than these.
+    fn apply_weights(
+        &mut self,
+        model: &str,
+        version: WeightsVersion,
+        unchanged_until: AnnouncedAt,
+        now: TimeMs,
+    ) -> bool {
+        let announced = self
+            .announced_weights
+            .get_or_insert_with(model.to_owned(), Announcements::default);
+        let is_newer = announced.name(version, unchanged_until, self.old_weights_grace_ms, now);
+        if is_newer {
+            tracing::info!(
+                model,
+                version = version.0,
+                ?unchanged_until,
+                "weights announced"
+            );
         }
-        tracing::info!(model, version = version.0, "weights announced");
-        self.record_announced_weights(model, version, now, AgeSource::Heard);
-        true
+        is_newer
     }
 
-    /// Records the earliest time at which weights are known to have been announced. An entry VM that
-    /// started after the announcement learns of the time from its peers.
+    /// Records that no weights after `follows`, up to a version, were announced before a moment.
     pub fn record_announced_weights(
         &mut self,
         model: &str,
         version: WeightsVersion,
-        learned_at_ms: TimeMs,
-        source: AgeSource,
+        follows: WeightsVersion,
+        at: AnnouncedAt,
     ) {
-        let grace_ms = self.old_weights_grace_ms;
-        let known = self
-            .announced_weights
-            .get_or_insert_with(model.to_owned(), Vec::new);
-        let found = known.binary_search_by_key(&version, |weights| weights.version);
-        match found {
-            Ok(index) if learned_at_ms < known[index].learned_at_ms => {
-                known[index].learned_at_ms = learned_at_ms;
-                known[index].source = source;
-            }
-            Ok(_) => {}
-            Err(index) => known.insert(
-                index,
-                AnnouncedWeights {
-                    version,
-                    learned_at_ms,
-                    grace_ms,
-                    source,
-                },
-            ),
-        }
-        if known.len() > MAX_ANNOUNCED_WEIGHTS {
-            known.remove(0);
-        }
+        self.announced_weights
+            .get_or_insert_with(model.to_owned(), Announcements::default)
+            .record(version, follows, at, self.old_weights_grace_ms);
     }
 
-    /// The newest announced weights of each model, with the time since their announcement, for
-    /// notices.
+    /// Until when rows that change now had not changed.
+    #[must_use]
+    pub fn unchanged_until(&self, table: &str, now: TimeMs) -> AnnouncedAt {
+        if self.replica.head(table).is_none() {
+            return AnnouncedAt::Unknown;
+        }
+        // A gateway that follows the table, itself or through its peers, hears of a change within the limit.
+        let limit_ms = self.store_polls.times().change_limit_ms();
+        let limit = AnnouncedAt::NotBefore {
+            at_ms: TimeMs(now.0.saturating_sub(limit_ms.0)),
+            source: AgeSource::Estimate,
+        };
+        let known_until_ms = self.known_until.get(&table.to_owned());
+        let recent_ms = known_until_ms.filter(|at_ms| now.since(**at_ms) <= limit_ms);
+        recent_ms.map_or(limit, |at_ms| AnnouncedAt::NotBefore {
+            at_ms: *at_ms,
+            source: AgeSource::Store,
+        })
+    }
+
+    /// Records until when the rows of a table are known.
+    pub fn record_known_until(&mut self, table: &str, until_ms: TimeMs) {
+        self.known_until.insert(table.to_owned(), until_ms);
+    }
+
+    /// The announced weights of each model, with the time since their announcement, for notices.
     #[must_use]
     pub fn weights_notices(&self, now: TimeMs) -> Vec<WeightsNotice> {
         let rows = self
             .announced_weights
             .iter()
             .flat_map(|(model, announced)| {
-                let newest = announced.iter().rev().take(MAX_NOTICE_WEIGHTS);
-                newest.map(move |weights| WeightsNotice {
+                let notices = announced.notices(now).into_iter();
+                notices.map(move |(version, age_ms)| WeightsNotice {
                     model: model.clone(),
-                    version: weights.version,
-                    age_ms: now.since(weights.learned_at_ms),
+                    version,
+                    age_ms,
                 })
             });
         rows.collect()
@@ -619,23 +645,19 @@
 
     fn apply_weights_notices(&mut self, notices: &[WeightsNotice], now: TimeMs) {
         for weights in notices {
-            let learned_at_ms = TimeMs(now.0.saturating_sub(weights.age_ms.0));
-            if self.newest_weights(&weights.model) >= Some(weights.version) {
-                self.record_announced_weights(
-                    &weights.model,
-                    weights.version,
-                    learned_at_ms,
-                    AgeSource::Peer,
-                );
-            }
+            let at = AnnouncedAt::NotBefore {
+                at_ms: TimeMs(now.0.saturating_sub(weights.age_ms.0)),
+                source: AgeSource::Peer,
+            };
+            let follows = WeightsVersion(weights.version.0.saturating_sub(1));
+            self.record_announced_weights(&weights.model, weights.version, follows, at);
         }
     }
 
-    /// The newest weights that were announced for a model.
+    /// The newest weights that the store named for a model.
     #[must_use]
     pub fn newest_weights(&self, model: &str) -> Option<WeightsVersion> {
-        let announced = self.announced_weights.get(&model.to_owned())?;
-        announced.last().map(|weights| weights.version)
+        self.announced_weights.get(&model.to_owned())?.newest()
     }
 
     /// Applies the removal of a row. The backend server that it described is removed at once, or after
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -67,9 +67,9 @@
     pub model: String,
     /// The announced version.
     pub version: WeightsVersion,
-    /// The time since the announcement.
-    pub age_ms: DurationMs,
-    /// Where the age comes from; `None` from a gateway that doesn't tell it.
+    /// The time since the announcement, at the most; `None` if it isn't known.
+    pub age_ms: Option<DurationMs>,
+    /// Where the age comes from; `None` if it isn't known, or from a gateway that doesn't tell it.
     #[serde(default)]
     pub source: Option<AgeSource>,
 }
@@ -202,11 +202,12 @@
 fn weights(state: &GatewayState, now: TimeMs) -> Vec<WeightsStatus> {
     let models = state.announced_weights.iter();
     let rows = models.flat_map(|(model, announced)| {
-        announced.iter().rev().map(move |weights| WeightsStatus {
+        let versions = announced.versions().iter().rev();
+        versions.map(move |weights| WeightsStatus {
             model: model.clone(),
             version: weights.version,
-            age_ms: now.since(weights.learned_at_ms),
-            source: Some(weights.source),
+            age_ms: weights.at.age_ms(now),
+            source: weights.at.source(),
         })
     });
     rows.collect()
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -10,7 +10,7 @@
         store::{Changes, MetadataStore, StoreError, WriteResult},
         store_polls::{NextCall, StoreCall},
     },
-    cactusspur_core::{DurationMs, TimeMs},
+    cactusspur_core::{DurationMs, TimeMs, gateway::AnnouncedAt},
     std::{rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
 };
@@ -306,9 +306,10 @@
     S: MetadataStore,
 {
     let known = shared.state.borrow().replica.head(table);
+    let asked_at_ms = now();
     let Some(head) = known else {
         let snapshot = store.read_table(table).await?;
-        merge(shared, snapshot);
+        merge_answer(shared, snapshot, asked_at_ms);
         return Ok(false);
     };
     match store
@@ -324,7 +325,14 @@
                 rows,
                 is_whole: false,
             };
-            merge(shared, copy);
+            // Without a change the store has held the call.
+            let held_until_ms = asked_at_ms.after(call.hold_ms).min(now());
+            let known_until_ms = if has_changed {
+                asked_at_ms
+            } else {
+                held_until_ms
+            };
+            merge_answer(shared, copy, known_until_ms);
             Ok(has_changed)
         }
         Changes::HistoryTruncated => {
@@ -333,16 +341,26 @@
                 %head,
                 "the store lacks the history since this version; reading the whole table"
             );
-            merge(shared, store.read_table(table).await?);
+            let asked_at_ms = now();
+            merge_answer(shared, store.read_table(table).await?, asked_at_ms);
             Ok(true)
         }
     }
 }
 
+/// Merges an answer of the store, which tells the table as it was at `known_until_ms` or later.
+fn merge_answer(shared: &Rc<Shared>, copy: TableCopy, known_until_ms: TimeMs) {
+    let table = copy.name.clone();
+    merge(shared, copy);
+    let mut state = shared.state.borrow_mut();
+    state.record_known_until(&table, known_until_ms);
+}
+
 /// Merges a copy of a table, from the store or from a peer, into the local one.
 pub fn merge(shared: &Rc<Shared>, copy: TableCopy) {
     let table = copy.name.clone();
     let mut state = shared.state.borrow_mut();
+    let unchanged_until = state.unchanged_until(&table, now());
     let changes = state.replica.apply(copy);
     let new_era = state.record_era(now());
     drop(state);
@@ -351,10 +369,10 @@
         metrics::counter!("cactusspur_store_eras_total").increment(1);
         shared.store_restored.notify_waiters();
     }
-    apply(shared, &table, &changes);
+    apply(shared, &table, &changes, unchanged_until);
 }
 
-fn apply(shared: &Rc<Shared>, table: &str, changes: &TableChanges) {
+fn apply(shared: &Rc<Shared>, table: &str, changes: &TableChanges, unchanged_until: AnnouncedAt) {
     if changes.rows.is_empty() {
         return;
     }
@@ -363,11 +381,13 @@
         table,
         &changes.rows,
         changes.is_restored,
+        unchanged_until,
         now(),
     );
     shared.peers.announce_in_domain(shared);
     if has_effect {
         shared.weights_changed.notify_one();
+        shared.weights_ages_changed.notify_one();
         shared.servers_listed.notify_one();
         quarantine::confirm(shared);
     }
--- a/src/gateway/weights.rs
+++ b/src/gateway/weights.rs
@@ -148,13 +148,12 @@
 /// Returns the first model with engines whose weights are older than the newest announced version.
 fn next_model(shared: &Shared) -> Option<String> {
     let state = shared.state.borrow();
-    let outdated = state.announced_weights.iter().find(|(model, versions)| {
+    let outdated = state.announced_weights.iter().find(|(model, announced)| {
         let mut weights = state.backends.iter().filter_map(|row| {
             let is_ready = row.1.is_ready();
             is_ready.then(|| row.1.weights(model)).flatten()
         });
-        let newest = versions.last().map(|newest| newest.version);
-        weights.any(|version| Some(version) < newest)
+        weights.any(|version| Some(version) < announced.newest())
     });
     outdated.map(|(model, _)| model.clone())
 }
--- a/src/operator/gateway.rs
+++ b/src/operator/gateway.rs
@@ -56,10 +56,14 @@
         format!("  cached parts   {}", status.cached_parts),
     ];
     lines.extend(status.weights.iter().map(|announced| {
-        let (model, version, age) = (&announced.model, announced.version.0, announced.age_ms.0);
+        let (model, version) = (&announced.model, announced.version.0);
+        let age = announced.age_ms.map_or_else(
+            || "at an unknown time".to_owned(),
+            |age_ms| format!("{} ms ago", age_ms.0),
+        );
         let source = announced.source;
         let source = source.map_or_else(String::new, |source| format!(" ({source})"));
-        format!("  weights        {model} {version}, named {age} ms ago{source}")
+        format!("  weights        {model} {version}, named {age}{source}")
     }));
     lines.extend(status.kept_stores.iter().map(|store| {
         let answers = if store.answers { "answers" } else { "silent" };
