--- a/core/src/gateway/choice.rs
+++ b/core/src/gateway/choice.rs
@@ -82,9 +82,9 @@
     pub cache_scope: Option<CacheScope>,
     /// The predicted time to the first token.
     pub first_token_ms: DurationMs,
-    /// The time after which the request may no longer start, since the grace period of its
-    /// weights ends; `None` on the newest weights.
-    pub limit_ms: Option<DurationMs>,
+    /// When the server must have begun the request by its deadline, since the grace period of its weights ends;
+    /// `None` on the newest weights.
+    pub begin_by_ms: Option<TimeMs>,
     /// The first newer version and when it was announced; `None` on the newest weights.
     pub outdated: Option<(WeightsVersion, AnnouncedAt)>,
 }
@@ -165,7 +165,7 @@
         weights: None,
         cache_scope: None,
         first_token_ms: DurationMs(0),
-        limit_ms: None,
+        begin_by_ms: None,
         outdated: None,
     })
 }
--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        announcement::{AnnouncedWeights, outdated},
+        announcement::{AnnouncedAt, AnnouncedWeights, outdated},
         backend::Backend,
         cached::{CacheScope, PromptPart, rendezvous_score, shared_keys},
         choice::{Choice, ChoiceContext, Fetch, ModelCall},
@@ -41,13 +41,13 @@
 const OLD_WEIGHTS_FREE_MS: DurationMs = DurationMs(1_300);
 /// Cost of older weights after that: a fifth of the answer's value is lost.
 const OLD_WEIGHTS_COST_MS: u64 = 75;
-/// Requests stop being sent to older weights this long before their grace period ends: the time
-/// that a request may spend in transit and in the engine's queue.
-const OLD_WEIGHTS_MARGIN_MS: DurationMs = DurationMs(1_500);
-/// The deadline passed to the server is this much before the end of the grace period, so that a
-/// request that has waited too long in the queue isn't started. Covers the transit time of the
-/// announcement and of the request.
-const OLD_WEIGHTS_DEADLINE_MARGIN_MS: DurationMs = DurationMs(300);
+/// The time that a request may spend in transit to an engine.
+const TRANSIT_MS: DurationMs = DurationMs(300);
+/// How long a sound server may be silent. Its deadlines start only when it reads a request.
+const SERVER_SILENCE_MS: DurationMs = DurationMs(1_500);
+/// The shortest deadline with which a request is sent to older weights: the time that it may spend in the engine's
+/// queue.
+const MIN_OLD_WEIGHTS_DEADLINE_MS: DurationMs = DurationMs(1_200);
 /// Cost of a decode-heavy request at an engine that is draining, which can't load its new weights
 /// before the answer is complete.
 const DRAINING_DECODE_COST_MS: u64 = 1_500;
@@ -70,11 +70,22 @@
     announced: &[AnnouncedWeights],
     now: TimeMs,
 ) -> bool {
-    outdated(weights, announced).is_none_or(|outdated| {
-        let last_ms = outdated.grace_ms.saturating_sub(OLD_WEIGHTS_MARGIN_MS);
-        let age_ms = outdated.at.age_ms(now);
-        age_ms.is_some_and(|age_ms| age_ms < last_ms)
-    })
+    outdated(weights, announced)
+        .is_none_or(|outdated| begin_by_ms(&outdated).since(now) >= MIN_OLD_WEIGHTS_DEADLINE_MS)
+}
+
+/// When the deadline of a request to older weights must end, so that it isn't begun after their grace period even
+/// if the server is silent first.
+fn begin_by_ms(outdated: &AnnouncedWeights) -> TimeMs {
+    let until_ms = match outdated.at {
+        AnnouncedAt::NotBefore { at_ms, .. } => at_ms.after(outdated.grace_ms),
+        AnnouncedAt::Unknown => TimeMs(0),
+    };
+    TimeMs(
+        until_ms
+            .0
+            .saturating_sub((TRANSIT_MS + SERVER_SILENCE_MS).0),
+    )
 }
 
 /// An engine that is eligible for a request.
@@ -179,13 +190,7 @@
         weights: Some(weights),
         cache_scope: Some(call.cache_scope(weights)),
         first_token_ms: DurationMs(first_token_ms),
-        limit_ms: outdated.map(|outdated| {
-            let limit_ms = outdated
-                .grace_ms
-                .saturating_sub(OLD_WEIGHTS_DEADLINE_MARGIN_MS);
-            let age_ms = outdated.at.age_ms(context.now);
-            age_ms.map_or(DurationMs(0), |age_ms| limit_ms.saturating_sub(age_ms))
-        }),
+        begin_by_ms: outdated.as_ref().map(begin_by_ms),
         outdated: outdated.map(|outdated| (outdated.version, outdated.at)),
     };
     (cost, choice)
--- a/core/tests/gateway/load.rs
+++ b/core/tests/gateway/load.rs
@@ -356,7 +356,8 @@
 
 /// When weights change under load, engines with old weights must be used during the grace period.
 #[test_case(0, true; "just named")]
-#[test_case(8_000, true; "still permitted")]
+#[test_case(6_900, true; "still permitted")]
+#[test_case(7_100, false; "a silent server might begin it too late")]
 #[test_case(9_500, false; "a request might begin too late")]
 fn old_weights_are_used_while_they_are_permitted(age_ms: u64, expected: bool) {
     let mut world = World::with_engines(2);
@@ -366,16 +367,16 @@
 }
 
 /// A request that waits too long in the queue of an engine with old weights must not start, so it
-/// is sent with a deadline before the end of the grace period.
+/// is sent with a deadline before the end of the grace period, also if the engine is silent for 1.5 s first.
 #[test]
 fn an_engine_with_old_weights_is_told_when_to_stop() {
     let mut world = World::with_engines(2);
     let fresh = world.choose(&long_prompt(1, 1), NOW).expect("an engine");
-    assert_eq!(fresh.limit_ms, None);
+    assert_eq!(fresh.begin_by_ms, None);
     world.announce(2, NOW);
-    let now = NOW.after(DurationMs(8_000));
+    let now = NOW.after(DurationMs(6_000));
     let old = world.choose(&long_prompt(1, 1), now).expect("an engine");
-    assert_eq!(old.limit_ms, Some(DurationMs(1_700)));
+    assert_eq!(old.begin_by_ms, Some(NOW.after(DurationMs(8_200))));
 }
 
 #[test]
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -471,8 +471,8 @@
         let head = ForwardHead {
             instance: &spec.instance,
             deadline_ms: choice
-                .limit_ms
-                .map_or(remaining_ms, |limit| limit.min(remaining_ms)),
+                .begin_by_ms
+                .map_or(remaining_ms, |by_ms| by_ms.since(now()).min(remaining_ms)),
             customer: self
                 .customer
                 .as_ref()
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -633,6 +633,14 @@
             has_weights_mismatch: false,
         });
     }
+    if choice.begin_by_ms.is_some_and(|by_ms| by_ms <= now()) {
+        return Err(AttemptFailure {
+            reason: "the grace period of the server's weights ends".to_owned(),
+            verdict: Verdict::NotRun,
+            is_unsent: true,
+            has_weights_mismatch: false,
+        });
+    }
     let in_flight = InFlightRequest::start(shared, call, choice);
     let usage = call.usage();
     usage.inspect(|usage| usage.record_attempt());
@@ -714,7 +722,7 @@
         outdated_by = choice.outdated.map(|outdated| outdated.0.0),
         outdated_ms = choice.outdated.and_then(|outdated| outdated.1.age_ms(now())).map(|age_ms| age_ms.0),
         age_source = choice.outdated.and_then(|outdated| outdated.1.source()).map(tracing::field::display),
-        begin_within_ms = choice.limit_ms.map(|limit| limit.0),
+        begin_within_ms = choice.begin_by_ms.map(|by_ms| by_ms.since(now()).0),
         fetch = ?choice.fetch, unread = choice.prefill_tokens.0, unread_shared = choice.shared_prefill_tokens.0,
         unread_again = choice.recomputed_tokens.0,
         steps_from_home = choice.steps_from_home, queue_ms = choice.queue_ms.0,
