--- a/core/src/gateway/routing.rs
+++ b/core/src/gateway/routing.rs
@@ -102,6 +102,8 @@
 pub struct ServiceSpec {
     /// The service's name.
     pub name: String,
+    /// The path at which a backend server tells whether it is healthy.
+    pub health_path: String,
     /// The number of connections that one backend server accepts from all entry VMs together.
     pub max_connections: usize,
     /// The bytes of KV cache per token.
--- a/core/tests/gateway/fixture.rs
+++ b/core/tests/gateway/fixture.rs
@@ -57,6 +57,7 @@
 pub fn service() -> ServiceSpec {
     ServiceSpec {
         name: ENGINES.to_owned(),
+        health_path: "/health".to_owned(),
         max_connections: 360,
         kv_bytes_per_token: 163_840,
         link_mbps: 740_000,
--- a/core/tests/gateway/reach.rs
+++ b/core/tests/gateway/reach.rs
@@ -53,6 +53,33 @@
     assert!(unreachable(&mut reach, 2, 121));
 }
 
+/// Exchanges that broke at several servers, without an answer in between, call for a trial, which decides.
+#[test]
+fn exchanges_that_break_at_several_servers_call_for_a_trial() {
+    let mut reach = Reach::default();
+    let mut broken = |server| reach.record_broken(SERVICE, WorkerId(server), LISTED);
+    assert!(!broken(1) && !broken(1));
+    assert!(broken(2));
+    reach.record_answer(SERVICE);
+    assert!(!reach.record_broken(SERVICE, WorkerId(3), LISTED));
+    assert!(reach.record_broken("other", WorkerId(1), 1));
+    assert!(!reach.is_lost(SERVICE) && !reach.is_lost("other"));
+}
+
+/// Servers that accept connections and stay silent may be slow, which any answer shows.
+#[test]
+fn silence_is_told_apart_from_connections_that_fail() {
+    let mut reach = Reach::default();
+    let before = reach.answers(SERVICE);
+    assert!(!reach.record_silent(SERVICE, WorkerId(1), LISTED, TimeMs(10)));
+    assert!(reach.record_silent(SERVICE, WorkerId(2), LISTED, TimeMs(11)));
+    assert!(reach.is_lost(SERVICE) && !reach.has_closed(SERVICE));
+    reach.record_answer(SERVICE);
+    assert_ne!(reach.answers(SERVICE), before);
+    assert!(!unreachable(&mut reach, 3, 12));
+    assert!(reach.has_closed(SERVICE));
+}
+
 #[test]
 fn one_trial_at_a_time() {
     let mut reach = Reach::default();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -396,7 +396,12 @@
                 }
             }
             is_declined = true;
-            if attempts.may_have_run || attempts.connect_failures >= MAX_CONNECT_FAILURES {
+            // A request that may run once only isn't put at risk on a connection that will probably break.
+            let is_kept_back = !call.kind().may_repeat() && reach::is_closed(shared, &call.service);
+            if attempts.may_have_run
+                || attempts.connect_failures >= MAX_CONNECT_FAILURES
+                || is_kept_back
+            {
                 break false;
             }
         }
@@ -653,6 +658,7 @@
                 usage.inspect(|usage| usage.record_not_run());
             }
             if failure.verdict == Verdict::MayHaveRun {
+                reach::record_broken(shared, &call.service, choice.worker);
                 quarantine::handle_lost_server(shared, call, &in_flight).await;
             }
             return Err(record_failure(shared, choice.worker, failure));
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -526,6 +526,22 @@
     matches!(attempt, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
 
+/// Whether a server answers a request on a connection of its own, with any status.
+pub async fn answers(address: SocketAddr, request: Request<Full<Bytes>>) -> bool {
+    let answer = async {
+        let mut connection = ResetOnDrop::open(address).await?;
+        let sent = connection.0.sender.send_request(request).await;
+        sent.map_err(|error| may_have_run(&error))
+    };
+    match answer.await {
+        Ok(_) => true,
+        Err(error) => {
+            tracing::debug!(%address, %error, "a server gave no answer");
+            false
+        }
+    }
+}
+
 /// Whether a server accepts a connection.
 pub async fn accepts_connections(address: SocketAddr) -> bool {
     let attempt = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -243,7 +243,11 @@
     /// Parses an engine's answer to a weights order.
     fn parse_order_answer(&self, status: u16) -> OrderAnswer;
 
-    /// The request for an engine's state.
+    /// The request for a backend server's health at its service's path, which takes a slot at the server as
+    /// others do. `None` if the path is invalid.
+    fn health_request(&self, path: &str, instance: &str) -> Option<Request<Full<Bytes>>>;
+
+    /// The request for an engine's state, which takes no slot.
     fn engine_state_request(&self, instance: &str) -> Request<Full<Bytes>>;
 
     /// Parses an engine's state for one model. `None` when the body is invalid or doesn't contain the
