Let one large event at a time wait for a slow caller

What callers could see: a few hundred streams of large events with callers that read slowly take more memory than a process has.

Cause: the queue of a stream was bounded by its number of events, 8, of up to 64 KiB each.

Change: an event of more than 8 KiB waits until the queue is empty. While it waits, nothing is read from the server.

--- a/src/gateway/passing_on.rs
+++ b/src/gateway/passing_on.rs
@@ -264,7 +264,7 @@
             }
             for event in reader.by_ref() {
                 count += 1;
-                if sender.send(StreamPart::Chunk(event.bytes)).await.is_err() {
+                if response::send_event(&sender, event.bytes).await.is_err() {
                     log_stream(&call, count, "caller left");
                     return;
                 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,7 +10,7 @@
         forward,
         link::{Connection, UnreadResponse},
         quarantine, reach,
-        response::{ResponseBody, StreamPart, StreamedBody},
+        response::{self, ResponseBody, StreamPart, StreamedBody},
         versions,
     },
     cactusspur_core::{
@@ -70,7 +70,7 @@
     let body = ResponseBody::Streamed(StreamedBody::new(events, abort));
     response
         .body(body)
-        .unwrap_or_else(|_| super::response::empty(http::StatusCode::BAD_GATEWAY))
+        .unwrap_or_else(|_| response::empty(http::StatusCode::BAD_GATEWAY))
 }
 
 /// A stream from one backend server.
@@ -338,7 +338,7 @@
         for event in source.reader.by_ref() {
             if event.is_comment() {
                 source.silent_since_ms = now();
-                let sent = self.sender.send(StreamPart::Chunk(event.bytes)).await;
+                let sent = response::send_event(&self.sender, event.bytes).await;
                 sent.map_err(|_| SourceEnd::CallerLeft)?;
                 continue;
             }
@@ -368,7 +368,7 @@
             if place == EventPlace::Repeated {
                 continue;
             }
-            let sent = self.sender.send(StreamPart::Chunk(event.bytes)).await;
+            let sent = response::send_event(&self.sender, event.bytes).await;
             sent.map_err(|_| SourceEnd::CallerLeft)?;
             // While a slow caller reads, nothing is read from the server.
             source.silent_since_ms = self::now();
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -13,7 +13,7 @@
         pin::Pin,
         task::{Context, Poll, ready},
     },
-    tokio::sync::mpsc::Receiver,
+    tokio::sync::mpsc::{Receiver, Sender},
 };
 
 /// The error of a stream that can't be completed. It makes the server close the caller's
@@ -46,6 +46,32 @@
     End,
 }
 
+/// Events up to this length are queued for the caller beside others, in bytes.
+const MAX_QUEUED_EVENT_BYTES: usize = 8_192;
+
+/// Queues an event for the caller once there is room for it. A large one waits until the caller's connection has
+/// taken those before it.
+///
+/// # Errors
+///
+/// When the caller has left.
+pub async fn send_event(sender: &Sender<StreamPart>, event: Bytes) -> Result<(), CallerLeft> {
+    let places = if event.len() > MAX_QUEUED_EVENT_BYTES {
+        sender.max_capacity()
+    } else {
+        1
+    };
+    let mut places = sender.reserve_many(places).await.map_err(|_| CallerLeft)?;
+    let place = places.next().ok_or(CallerLeft)?;
+    place.send(StreamPart::Chunk(event));
+    Ok(())
+}
+
+/// The error of an event whose caller has left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[display("the caller has left")]
+pub struct CallerLeft;
+
 /// A body whose parts come from a relay task. It is complete only when the task says so. Dropping the body
 /// aborts the task.
 #[derive(Debug)]
