--- a/core/src/gateway/announcement.rs
+++ b/core/src/gateway/announcement.rs
@@ -81,7 +81,9 @@
         }
     }
 
-    fn is_firm(self) -> bool {
+    /// Whether the time is known other than by an estimate.
+    #[must_use]
+    pub fn is_firm(self) -> bool {
         matches!(self, Self::NotBefore { source, .. } if source != AgeSource::Estimate)
     }
 }
@@ -102,6 +104,10 @@
 }
 
 impl AnnouncedWeights {
+    const fn is_estimate(&self) -> bool {
+        matches!(self.at.source(), Some(AgeSource::Estimate))
+    }
+
     /// Takes in another bound.
     fn merge(&mut self, follows: WeightsVersion, at: AnnouncedAt) {
         match (self.at.is_firm(), at.is_firm()) {
@@ -152,10 +158,13 @@
         self.newest
     }
 
-    /// The announced versions with what is known of their time, oldest first.
+    /// The announced versions up to the newest one that the store named, with what is known of their time, oldest
+    /// first. What peers say of newer ones may be lost with a backup of the store.
     #[must_use]
     pub fn versions(&self) -> &[AnnouncedWeights] {
-        &self.versions
+        let newest = self.newest.unwrap_or_default();
+        let end = self.versions.partition_point(|row| row.version <= newest);
+        &self.versions[..end]
     }
 
     /// Records that the store names a version. Until the moment in `unchanged_until` it named none after the
@@ -201,7 +210,18 @@
         at: AnnouncedAt,
         grace_ms: DurationMs,
     ) {
-        self.entry(version, grace_ms).merge(follows, at);
+        let known = self.entry(version, grace_ms);
+        let estimate = *known;
+        known.merge(follows, at);
+        let between = known.follows;
+        // An estimate still tells of the versions before those of a firm bound.
+        if estimate.is_estimate() && between > estimate.follows {
+            let earlier = self.entry(between, grace_ms);
+            if earlier.at == AnnouncedAt::Unknown {
+                earlier.follows = estimate.follows;
+                earlier.at = estimate.at;
+            }
+        }
     }
 
     fn entry(&mut self, version: WeightsVersion, grace_ms: DurationMs) -> &mut AnnouncedWeights {
--- a/core/tests/gateway/announcement.rs
+++ b/core/tests/gateway/announcement.rs
@@ -160,3 +160,28 @@
         }
     }
 }
+
+/// A peer that told the time of the newest version alone made that of the versions before unknown.
+#[test]
+fn a_bound_of_the_newest_version_leaves_the_estimate_of_those_before() {
+    let mut known = Announcements::default();
+    name(&mut known, 1, AnnouncedAt::Unknown, 100);
+    let estimate = since(1_000, AgeSource::Estimate);
+    name(&mut known, 5, estimate, 3_000);
+    record(&mut known, 5, 4, since(2_700, AgeSource::Peer));
+    assert_eq!(outdated_at(&known, 1), Some(estimate));
+    let peer = since(2_700, AgeSource::Peer);
+    assert_eq!(outdated_at(&known, 4), Some(peer));
+}
+
+/// A version that the store had named before its return from a backup kept engines out of use.
+#[test]
+fn versions_that_only_peers_tell_of_outdate_nothing() {
+    let mut known = Announcements::default();
+    name(&mut known, 2, AnnouncedAt::Unknown, 100);
+    record(&mut known, 9, 8, since(50, AgeSource::Peer));
+    assert_eq!(outdated_at(&known, 2), None);
+    name(&mut known, 9, since(200, AgeSource::Store), 300);
+    let peer = since(50, AgeSource::Peer);
+    assert_eq!(outdated_at(&known, 8), Some(peer));
+}
