--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -10,7 +10,10 @@
         store::{Changes, MetadataStore, StoreError, WriteResult},
         store_polls::{NextCall, StoreCall},
     },
-    cactusspur_core::{DurationMs, TimeMs, gateway::AnnouncedAt},
+    cactusspur_core::{
+        DurationMs, TimeMs,
+        gateway::{AgeSource, AnnouncedAt},
+    },
     std::{rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
 };
@@ -309,7 +312,7 @@
     let asked_at_ms = now();
     let Some(head) = known else {
         let snapshot = store.read_table(table).await?;
-        merge_answer(shared, snapshot, asked_at_ms);
+        merge_answer(shared, snapshot, asked_at_ms, None);
         return Ok(false);
     };
     match store
@@ -332,7 +335,8 @@
             } else {
                 held_until_ms
             };
-            merge_answer(shared, copy, known_until_ms);
+            let held_since_ms = changed_not_before_ms(shared, call, asked_at_ms);
+            merge_answer(shared, copy, known_until_ms, held_since_ms);
             Ok(has_changed)
         }
         Changes::HistoryTruncated => {
@@ -342,25 +346,51 @@
                 "the store lacks the history since this version; reading the whole table"
             );
             let asked_at_ms = now();
-            merge_answer(shared, store.read_table(table).await?, asked_at_ms);
+            merge_answer(shared, store.read_table(table).await?, asked_at_ms, None);
             Ok(true)
         }
     }
 }
 
-/// Merges an answer of the store, which tells the table as it was at `known_until_ms` or later.
-fn merge_answer(shared: &Rc<Shared>, copy: TableCopy, known_until_ms: TimeMs) {
+/// Before when the rows that a poll brings had not changed: the store answers a poll that it holds once a row
+/// changes. `None` if it may not have held the poll, or if the answer is later than a store in order gives it.
+fn changed_not_before_ms(shared: &Shared, call: StoreCall, asked_at_ms: TimeMs) -> Option<TimeMs> {
+    let now = now();
+    let answer_ms = shared.state.borrow().store_polls.times().answer_ms(0);
+    let waited_ms = now.since(asked_at_ms);
+    let is_held = waited_ms > answer_ms && waited_ms <= call.hold_ms + answer_ms;
+    is_held.then(|| TimeMs(now.0.saturating_sub(answer_ms.0)))
+}
+
+/// Merges an answer of the store, which tells the table as it was at `known_until_ms` or later. Its rows had not
+/// changed before `changed_not_before_ms`, if that is known.
+fn merge_answer(
+    shared: &Rc<Shared>,
+    copy: TableCopy,
+    known_until_ms: TimeMs,
+    changed_not_before_ms: Option<TimeMs>,
+) {
     let table = copy.name.clone();
-    merge(shared, copy);
+    let held = changed_not_before_ms.map(|at_ms| AnnouncedAt::NotBefore {
+        at_ms,
+        source: AgeSource::Store,
+    });
+    let unchanged_until =
+        held.unwrap_or_else(|| shared.state.borrow().unchanged_until(&table, now()));
+    merge_changes(shared, copy, unchanged_until);
     let mut state = shared.state.borrow_mut();
     state.record_known_until(&table, known_until_ms);
 }
 
 /// Merges a copy of a table, from the store or from a peer, into the local one.
 pub fn merge(shared: &Rc<Shared>, copy: TableCopy) {
+    let unchanged_until = shared.state.borrow().unchanged_until(&copy.name, now());
+    merge_changes(shared, copy, unchanged_until);
+}
+
+fn merge_changes(shared: &Rc<Shared>, copy: TableCopy, unchanged_until: AnnouncedAt) {
     let table = copy.name.clone();
     let mut state = shared.state.borrow_mut();
-    let unchanged_until = state.unchanged_until(&table, now());
     let changes = state.replica.apply(copy);
     let new_era = state.record_era(now());
     drop(state);
