--- a/src/gateway/weights_records.rs
+++ b/src/gateway/weights_records.rs
@@ -120,9 +120,8 @@
             };
         }
         if self.should_read(shared, model) {
-            let read_at_ms = now();
+            self.read_at_ms = Some(now());
             self.read(shared, store, model).await?;
-            self.read_at_ms = Some(read_at_ms);
         }
         if self.should_write(shared, model) {
             self.write(shared, store, model).await?;
@@ -259,7 +258,7 @@
     }
 }
 
-/// Whether a ready engine has weights that were outdated at an unknown time.
+/// Whether a ready engine has weights that were outdated at a time that is unknown, or an estimate.
 fn has_unknown_age(shared: &Shared, model: &str) -> bool {
     let state = shared.state.borrow();
     let Some(announced) = state.announced_weights.get(&model.to_owned()) else {
@@ -268,7 +267,7 @@
     state.backends.iter().any(|(_, backend)| {
         let weights = backend.weights(model).filter(|_| backend.is_ready());
         let outdated = weights.and_then(|weights| outdated(weights, announced.versions()));
-        outdated.is_some_and(|outdated| outdated.at == AnnouncedAt::Unknown)
+        outdated.is_some_and(|outdated| !outdated.at.is_firm())
     })
 }
 
@@ -299,7 +298,9 @@
 ) -> Option<RecordedAnnouncement> {
     // The store read its clock before `read_by_ms`.
     let age_ms = weights.at.age_ms(read_by_ms)?;
-    Some(RecordedAnnouncement {
+    // A clock that is younger than the announcement can't tell its time.
+    let is_told = age_ms.0 <= read.store_now_ms.0;
+    is_told.then_some(RecordedAnnouncement {
         version: weights.version,
         follows: weights.follows,
         not_before_store_ms: TimeMs(read.store_now_ms.0.saturating_sub(age_ms.0)),
