--- a/src/gateway/clock.rs
+++ b/src/gateway/clock.rs
@@ -6,13 +6,16 @@
     std::time::Duration,
 };
 
-/// The time since boot, excluding suspension. Used for measurements and timeouts.
+/// Added to all times, so that moments before the boot can be told.
+const BEFORE_BOOT: Duration = Duration::from_hours(24);
+
+/// The time since a day before boot, excluding suspension. Used for measurements and timeouts.
 #[must_use]
 pub fn now() -> TimeMs {
     read(ClockId::CLOCK_MONOTONIC)
 }
 
-/// The time since boot, including suspension. Used for leases: after a suspension the holder must
+/// The same, including suspension. Used for leases: after a suspension the holder must
 /// detect that its term has ended.
 #[must_use]
 pub fn now_with_suspension() -> TimeMs {
@@ -27,5 +30,6 @@
         },
         Duration::from,
     );
+    let time = time.saturating_add(BEFORE_BOOT);
     TimeMs(u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
 }
