--- a/src/gateway/memory.rs
+++ b/src/gateway/memory.rs
@@ -13,8 +13,10 @@
 pub const MAX_SMALL_BODY_BYTES: usize = 65_536;
 /// The unit in which room is reserved, in bytes.
 const UNIT_BYTES: usize = 1_024;
-/// The share of a process's memory for small bodies, and again for larger ones.
-const BODIES_DIVISOR: usize = 6;
+/// The share of a process's memory for small bodies.
+const SMALL_BODIES_DIVISOR: usize = 6;
+/// The share of a process's memory for larger bodies.
+const LARGE_BODIES_DIVISOR: usize = 3;
 /// The share of a process's memory for answers.
 const ANSWERS_DIVISOR: usize = 8;
 /// The share of its length by which a full buffer grows.
@@ -25,29 +27,32 @@
 pub struct BodyRoom {
     small: Arc<Semaphore>,
     large: Arc<Semaphore>,
-    units: usize,
+    small_units: usize,
+    large_units: usize,
 }
 
 impl BodyRoom {
     /// The room in a process that may use `memory_bytes`.
     #[must_use]
     pub fn for_process(memory_bytes: usize) -> Self {
-        let units = memory_bytes / BODIES_DIVISOR / UNIT_BYTES;
+        let small_units = memory_bytes / SMALL_BODIES_DIVISOR / UNIT_BYTES;
+        let large_units = memory_bytes / LARGE_BODIES_DIVISOR / UNIT_BYTES;
         Self {
-            small: Arc::new(Semaphore::new(units)),
-            large: Arc::new(Semaphore::new(units)),
-            units,
+            small: Arc::new(Semaphore::new(small_units)),
+            large: Arc::new(Semaphore::new(large_units)),
+            small_units,
+            large_units,
         }
     }
 
     /// Waits for room for a body of `bytes`. A body that is larger than the whole room waits for all of it.
     pub async fn reserve(&self, bytes: usize) -> Option<Reservation> {
-        let room = if bytes <= MAX_SMALL_BODY_BYTES {
-            &self.small
+        let (room, all_units) = if bytes <= MAX_SMALL_BODY_BYTES {
+            (&self.small, self.small_units)
         } else {
-            &self.large
+            (&self.large, self.large_units)
         };
-        let units = u32::try_from(bytes.div_ceil(UNIT_BYTES).min(self.units)).ok()?;
+        let units = u32::try_from(bytes.div_ceil(UNIT_BYTES).min(all_units)).ok()?;
         let permit = Arc::clone(room).acquire_many_owned(units).await;
         // The semaphores are never closed.
         permit.ok().map(|permit| Reservation { permit })
