--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -673,7 +673,18 @@
     log_sent(shared, call, choice, last_event);
     call.record_parts(shared, choice, false);
     let sending = shared.connection_pool.send(address, request);
-    let reply = reach::watch(shared, &call.service, sending).await;
+    let reply = tokio::select! {
+        biased;
+        reply = reach::watch(shared, &call.service, sending) => reply,
+        () = weights::wait_until_expired(shared, call, choice) => {
+            return Err(AttemptFailure {
+                reason: "the grace period of the server's weights ended".to_owned(),
+                verdict: Verdict::MayHaveRun,
+                is_unsent: false,
+                has_weights_mismatch: false,
+            });
+        }
+    };
     let reply = match reply {
         Ok(reply) => reply,
         Err(failure) => {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -21,7 +21,7 @@
             AgeSource, AnnouncedAt, Announcements, Backend, BackendTable, CachedParts, Load,
             Overload, PartUpdate, PastServices, PastVersion, PastVersions, Quarantine, Reach,
             RetryBudget, Route, RoutingTable, SoftwareKey, StreamOrigin, StreamOrigins,
-            UsageOrigin, UsageTable, VersionRecord,
+            UsageOrigin, UsageTable, VersionRecord, outdated,
         },
     },
     std::rc::Rc,
@@ -35,6 +35,8 @@
 const RECENT_OUTAGE_MS: DurationMs = DurationMs(3_000);
 /// The time that a store takes to remove the row of a server beyond the server's time limit.
 const ROW_REMOVAL_MARGIN_MS: DurationMs = DurationMs(900);
+/// The time that the end of a connection may take to reach an engine.
+const TRANSIT_MS: DurationMs = DurationMs(300);
 /// How long an engine counts as draining or loading after the last notice of the order lease's
 /// holder that says so.
 const ROLLOUT_STATE_TTL_MS: DurationMs = DurationMs(500);
@@ -660,6 +662,21 @@
         self.announced_weights.get(&model.to_owned())?.newest()
     }
 
+    /// How long a request may still begin on weights; `None` if nothing is known that ends it.
+    #[must_use]
+    pub fn weights_left_ms(
+        &self,
+        model: &str,
+        weights: WeightsVersion,
+        now: TimeMs,
+    ) -> Option<DurationMs> {
+        let announced = self.announced_weights.get(&model.to_owned())?;
+        let outdated = outdated(weights, announced.versions())?;
+        let age_ms = outdated.at.age_ms(now)?;
+        let left_ms = outdated.grace_ms.saturating_sub(TRANSIT_MS);
+        Some(left_ms.saturating_sub(age_ms))
+    }
+
     /// Applies the removal of a row. The backend server that it described is removed at once, or after
     /// a grace period if the store failed recently. Returns whether the row described one.
     fn remove_row(
--- a/src/gateway/weights.rs
+++ b/src/gateway/weights.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Shared,
+        call::Call,
         clock::now,
         lease::{self, Acquired, Candidate, RENEW_BEFORE_MS, Term},
         link::ResetOnDrop,
@@ -13,10 +14,10 @@
     },
     cactusspur_core::{
         DurationMs, TimeMs, WeightsVersion, WorkerId,
-        gateway::{OrderState, Rollout, RolloutEngine, RolloutStep},
+        gateway::{Choice, OrderState, Rollout, RolloutEngine, RolloutStep},
     },
     futures::{StreamExt, stream::FuturesUnordered},
-    std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::Cell, future::pending, net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
@@ -88,6 +89,26 @@
     }
 }
 
+/// Waits until a stream that has been sent to an engine may no longer begin on its weights. The request may have been
+/// sent before newer ones were announced.
+pub async fn wait_until_expired(shared: &Shared, call: &Call, choice: &Choice) {
+    let model = call.head.prompt.as_ref().map(|prompt| &prompt.model);
+    let (Some(model), Some(weights), true) = (model, choice.weights, call.kind().is_stream())
+    else {
+        return pending().await;
+    };
+    loop {
+        let left_ms = shared.state.borrow().weights_left_ms(model, weights, now());
+        if left_ms == Some(DurationMs(0)) {
+            return;
+        }
+        // Weights that are announced meanwhile leave more time than this.
+        let half_ms = DurationMs(shared.settings.old_weights_grace_ms.0 / 2);
+        let wait_ms = left_ms.unwrap_or(half_ms).min(half_ms);
+        sleep(Duration::from_millis(wait_ms.0)).await;
+    }
+}
+
 /// Marks this gateway as rolling out weights until it is dropped.
 struct RolloutGuard<'a>(&'a Shared);
 
