--- a/core/src/gateway/prediction.rs
+++ b/core/src/gateway/prediction.rs
@@ -45,8 +45,9 @@
 const TRANSIT_MS: DurationMs = DurationMs(300);
 /// How long a sound server may be silent. Its deadlines start only when it reads a request.
 const SERVER_SILENCE_MS: DurationMs = DurationMs(1_500);
-/// The shortest deadline with which a request is sent to older weights: most answers are complete within it.
-const MIN_OLD_WEIGHTS_DEADLINE_MS: DurationMs = DurationMs(500);
+/// The shortest deadline with which a request is sent to older weights: the time that it may spend in the engine's
+/// queue.
+const MIN_OLD_WEIGHTS_DEADLINE_MS: DurationMs = DurationMs(1_200);
 /// Cost of a decode-heavy request at an engine that is draining, which can't load its new weights
 /// before the answer is complete.
 const DRAINING_DECODE_COST_MS: u64 = 1_500;
--- a/core/tests/gateway/load.rs
+++ b/core/tests/gateway/load.rs
@@ -356,8 +356,8 @@
 
 /// When weights change under load, engines with old weights must be used during the grace period.
 #[test_case(0, true; "just named")]
-#[test_case(7_600, true; "still permitted")]
-#[test_case(7_800, false; "a silent server might begin it too late")]
+#[test_case(6_900, true; "still permitted")]
+#[test_case(7_100, false; "a silent server might begin it too late")]
 #[test_case(9_500, false; "a request might begin too late")]
 fn old_weights_are_used_while_they_are_permitted(age_ms: u64, expected: bool) {
     let mut world = World::with_engines(2);
