--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -21,6 +21,10 @@
     IpAddr::V4(Ipv4Addr::new(127, second, third, host))
 }
 
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
 pub struct Gateway {
     pub name: String,
     pub zone: String,
@@ -107,11 +111,15 @@
 
     /// Sends SIGHUP to all processes.
     pub fn hang_up(&self) {
-        for gateway in &self.gateways {
-            if let Some(child) = &gateway.child {
-                let _ = Command::new("kill")
-                    .args(["-HUP", &child.id().to_string()])
-                    .status();
+        const SIGHUP: i32 = 1;
+        let children = self
+            .gateways
+            .iter()
+            .filter_map(|gateway| gateway.child.as_ref());
+        for child in children {
+            if let Ok(process) = i32::try_from(child.id()) {
+                // The child has not been waited for, so that the number is its own.
+                unsafe { kill(process, SIGHUP) };
             }
         }
     }
--- a/review/standins-2/src/unread.rs
+++ b/review/standins-2/src/unread.rs
@@ -7,7 +7,8 @@
 use crate::worker::Worker;
 use std::collections::BTreeSet;
 use std::io::{self, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::os::fd::FromRawFd;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -27,8 +28,12 @@
 /// How long the consumer doesn't read. It waits eight seconds for its answer.
 const PAUSE: Duration = Duration::from_millis(3_000);
 const DEADLINE_MS: u64 = 8_000;
-/// The answer to a large request. The buffers of a loopback connection hold about 128 KB by default.
-const ANSWER_BYTES: usize = 300_000;
+/// What a consumer's connection may hold before it is read, and the answer that it is sent: the default buffer of the
+/// system and a long answer, or a small buffer and the longest answer of the sheet.
+const VARIANTS: [(Option<i32>, &str, usize); 2] = [
+    (None, "/hold/large", 300_000),
+    (Some(2_304), "/hold/sheet", 4_800),
+];
 const SMALL_BYTES: usize = 800;
 /// Losses of answers on kept channels that the rule permits at any time.
 const MAX_LOST: usize = 3;
@@ -57,11 +62,8 @@
             ("X-Instance-Id", &worker.id),
             ("X-Server-Load", &load),
         ];
-        let length = if request.path().ends_with("large") {
-            ANSWER_BYTES
-        } else {
-            SMALL_BYTES
-        };
+        let variant = VARIANTS.iter().find(|row| row.1 == request.path());
+        let length = variant.map_or(SMALL_BYTES, |row| row.2);
         let sent = write_answer(stream, "200 OK", &headers, &vec![b'x'; length]);
         notes.note(format!(
             "{} has answered {id} with {length} bytes: {sent:?}",
@@ -110,9 +112,44 @@
     (id, answer)
 }
 
+unsafe extern "C" {
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn connect(socket: i32, address: *const u8, length: u32) -> i32;
+}
+
+/// Connects with a receive buffer of a given size, which must be set before.
+fn connect_with_buffer(front: SocketAddr, bytes: i32) -> Option<TcpStream> {
+    const AF_INET: u16 = 2;
+    const SOCK_STREAM: i32 = 1;
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    let IpAddr::V4(ip) = front.ip() else {
+        return None;
+    };
+    let mut address = [0_u8; 16];
+    address[..2].copy_from_slice(&AF_INET.to_ne_bytes());
+    address[2..4].copy_from_slice(&front.port().to_be_bytes());
+    address[4..8].copy_from_slice(&ip.octets());
+    // The calls get valid pointers, and the stream owns the descriptor.
+    unsafe {
+        let descriptor = socket(i32::from(AF_INET), SOCK_STREAM, 0);
+        if descriptor < 0 {
+            return None;
+        }
+        let stream = TcpStream::from_raw_fd(descriptor);
+        let is_set = setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, 4) == 0;
+        let is_connected = connect(descriptor, address.as_ptr(), 16) == 0;
+        (is_set && is_connected).then_some(stream)
+    }
+}
+
 /// Opens a channel and uses it once.
-fn open(front: SocketAddr, record: &Record) -> Option<BufReader<TcpStream>> {
-    let stream = TcpStream::connect(front).ok()?;
+fn open(front: SocketAddr, buffer: Option<i32>, record: &Record) -> Option<BufReader<TcpStream>> {
+    let stream = match buffer {
+        Some(bytes) => connect_with_buffer(front, bytes)?,
+        None => TcpStream::connect(front).ok()?,
+    };
     stream.set_nodelay(true).ok()?;
     stream
         .set_read_timeout(Some(Duration::from_millis(DEADLINE_MS)))
@@ -142,10 +179,11 @@
     let cut = Arc::new(Mutex::new(BTreeSet::new()));
     let mut unopened = 0;
     for round in 0..ROUNDS {
+        let (buffer, path, length) = VARIANTS[round % VARIANTS.len()];
         let channels: Vec<_> = fleet
             .gateways
             .iter()
-            .map(|gateway| open(gateway.front, &record))
+            .map(|gateway| open(gateway.front, buffer, &record))
             .collect();
         fleet.hang_up();
         record.note(format!("round {round}: SIGHUP to all gateways"));
@@ -158,16 +196,14 @@
             };
             let (record, whole, cut) = (Arc::clone(&record), Arc::clone(&whole), Arc::clone(&cut));
             clients.push(thread::spawn(move || {
-                let (id, answer) = exchange(&mut channel, "/hold/large", pause, &record);
+                let (id, answer) = exchange(&mut channel, path, pause, &record);
                 let is_whole = answer.is_ok_and(|answer| {
-                    answer.head.status() == 200
-                        && answer.is_complete
-                        && answer.body.len() == ANSWER_BYTES
+                    answer.head.status() == 200 && answer.is_complete && answer.body.len() == length
                 });
                 if is_whole {
                     whole.fetch_add(1, Ordering::SeqCst);
                 } else {
-                    cut.lock().expect("the list").insert(id);
+                    cut.lock().expect("the list").insert((id, length));
                 }
             }));
         }
@@ -190,10 +226,11 @@
         );
     }
     let cut = cut.lock().expect("the list");
-    let lost = cut.iter().filter(|id| ran.contains(*id)).count();
+    let lost = cut.iter().filter(|row| ran.contains(&row.0)).count();
+    let of_sheet = cut.iter().filter(|row| row.1 == VARIANTS[1].2).count();
     let whole = whole.load(Ordering::SeqCst);
     let line = format!(
-        "large answers that arrived whole {whole}, cut off after a worker had run the request {lost}"
+        "answers that arrived whole {whole}, cut off after a worker had run the request {lost}, of these {of_sheet} of 4,800 bytes"
     );
     println!("{line}");
     record.note(line);
