--- a/review/standins-2/src/drain.rs
+++ b/review/standins-2/src/drain.rs
@@ -6,6 +6,7 @@
 use crate::record::Record;
 use crate::store::Store;
 use crate::worker::Worker;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -69,8 +70,8 @@
         };
     Worker::start(
         (&id, "ledger-app", zone),
-        fleet::ip(100),
-        (false, 6),
+        SocketAddr::new(fleet::ip(100), 0),
+        (false, 6, "v1"),
         record,
         Box::new(run),
     )
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -1,11 +1,10 @@
-//! An engine as a process of its own, which can be killed. It streams answers without a length or chunks, which end
-//! with their channel.
+//! An engine as a process of its own, which can be killed.
 
 use crate::http::Message;
 use crate::record::Record;
 use crate::worker::Worker;
 use std::io::{self, Write};
-use std::net::{IpAddr, Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::thread;
@@ -15,43 +14,104 @@
 pub const EVENTS: u64 = 40;
 const STEP: Duration = Duration::from_millis(100);
 
-fn stream(worker: &Worker, request: &Message, stream: &mut TcpStream) -> io::Result<()> {
+/// How the end of an answer is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By its last chunk.
+    Chunks,
+    /// By the orderly end of its channel.
+    Close,
+}
+
+impl Framing {
+    fn word(self) -> &'static str {
+        match self {
+            Self::Chunks => "chunks",
+            Self::Close => "close",
+        }
+    }
+}
+
+fn stream(
+    worker: &Worker,
+    request: &Message,
+    stream: &mut TcpStream,
+    framing: Framing,
+) -> io::Result<()> {
     let id = request.header("x-request-id").unwrap_or("");
     let after = request
         .header("last-event-id")
         .and_then(|id| id.parse().ok());
+    let ends = match framing {
+        Framing::Chunks => "Transfer-Encoding: chunked",
+        Framing::Close => "Connection: close",
+    };
     let head = format!(
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\nX-Request-Id: {id}\r\n\
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{ends}\r\nX-Request-Id: {id}\r\n\
          X-Server-Seal: s\r\nX-Instance-Id: {}\r\nX-Weight-Versions: 1\r\n\r\n",
         worker.id
     );
     stream.write_all(head.as_bytes())?;
     for event in after.unwrap_or(0) + 1..=EVENTS {
         thread::sleep(STEP);
-        stream.write_all(format!("id: {event}\ndata: word {event}\n\n").as_bytes())?;
+        let text = format!("id: {event}\ndata: word {event} of {}\n\n", worker.software);
+        let text = match framing {
+            Framing::Chunks => format!("{:x}\r\n{text}\r\n", text.len()),
+            Framing::Close => text,
+        };
+        stream.write_all(text.as_bytes())?;
+    }
+    match framing {
+        Framing::Chunks => stream.write_all(b"0\r\n\r\n"),
+        Framing::Close => stream.shutdown(Shutdown::Write),
     }
-    // The orderly end of the channel is that of the answer.
-    stream.shutdown(Shutdown::Write)
 }
 
-/// Runs an engine until the process is killed. Prints its address, and each request that it runs.
-pub fn run(id: &str, service: &str, zone: &str, ip: IpAddr) -> ! {
+/// Runs an engine until the process is killed. Prints its rows, and each request that it runs.
+pub fn run(words: &[String]) -> ! {
+    let [id, service, zone, address, software, framing] = words else {
+        panic!("an engine needs six words");
+    };
+    let framing = if framing == Framing::Close.word() {
+        Framing::Close
+    } else {
+        Framing::Chunks
+    };
     let record = Arc::new(Record::printing());
-    let run = |worker: &Worker, request: &Message, channel: &mut TcpStream| {
-        let _ = stream(worker, request, channel);
-        false
+    let run = move |worker: &Worker, request: &Message, channel: &mut TcpStream| {
+        stream(worker, request, channel, framing).is_ok() && framing == Framing::Chunks
     };
-    let worker = Worker::start((id, service, zone), ip, (true, 24), &record, Box::new(run));
+    let address = address.parse().expect("an address");
+    let worker = Worker::start(
+        (id, service, zone),
+        address,
+        (true, 24, software),
+        &record,
+        Box::new(run),
+    );
     println!("{}", worker.row("ready"));
     println!("{}", worker.row("draining"));
+    println!("{}", worker.address);
     loop {
         thread::park();
     }
 }
 
+/// What an engine is started as.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineSpec<'a> {
+    pub id: &'a str,
+    pub service: &'a str,
+    pub zone: &'a str,
+    pub software: &'a str,
+    pub framing: Framing,
+}
+
 /// A running engine. Dropping it kills its process.
 pub struct Engine {
     pub id: String,
+    pub zone: String,
+    pub address: SocketAddr,
     pub ready_row: String,
     pub draining_row: String,
     child: Child,
@@ -59,26 +119,32 @@
 
 impl Engine {
     /// Starts the process of an engine. What it runs is noted in the record.
-    pub fn start(id: &str, service: &str, zone: &str, ip: IpAddr, record: &Arc<Record>) -> Self {
+    pub fn start(spec: EngineSpec<'_>, address: SocketAddr, record: &Arc<Record>) -> Self {
         let program = std::env::current_exe().expect("this program");
+        let words = ["engine", spec.id, spec.service, spec.zone];
         let mut child = Command::new(program)
-            .args(["engine", id, service, zone, &ip.to_string()])
+            .args(words)
+            .args([&address.to_string(), spec.software, spec.framing.word()])
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
             .expect("an engine starts");
         let out = child.stdout.take().expect("its output");
         let mut lines = io::BufRead::lines(io::BufReader::new(out));
-        let mut next = || lines.next().and_then(Result::ok).expect("a row");
+        let mut next = || lines.next().and_then(Result::ok).expect("a line");
         let (ready_row, draining_row) = (next(), next());
+        let address = next().parse().expect("an address");
         let notes = Arc::clone(record);
+        let software = spec.software.to_owned();
         thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
-                notes.note(line);
+                notes.note(format!("{line} ({software})"));
             }
         });
         Self {
-            id: id.to_owned(),
+            id: spec.id.to_owned(),
+            zone: spec.zone.to_owned(),
+            address,
             ready_row,
             draining_row,
             child,
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -11,6 +11,7 @@
 mod spot;
 mod store;
 mod unread;
+mod upgrade;
 mod worker;
 
 use std::path::PathBuf;
@@ -18,10 +19,8 @@
 fn main() {
     let mut arguments = std::env::args().skip(1);
     let words: Vec<String> = std::env::args().skip(1).collect();
-    if let [case, id, service, zone, ip] = &words[..]
-        && case == "engine"
-    {
-        engine::run(id, service, zone, ip.parse().expect("an address"));
+    if words.first().is_some_and(|word| word == "engine") {
+        engine::run(&words[1..]);
     }
     let (case, folder) = (arguments.next(), arguments.next());
     let folder = PathBuf::from(folder.unwrap_or_default());
@@ -29,6 +28,7 @@
     let case = case.unwrap_or_default();
     let run = std::panic::catch_unwind(|| match case.as_str() {
         "spot" => spot::run(&folder, has_trouble),
+        "upgrade" => upgrade::run(&folder, has_trouble),
         "unread" => unread::run(&folder, has_trouble),
         "drain" => drain::run(&folder, has_trouble),
         _ => {
--- a/review/standins-2/src/spot.rs
+++ b/review/standins-2/src/spot.rs
@@ -1,10 +1,11 @@
 //! MIXED: engines report that they leave and are gone two seconds later, in the middle of answers without a length.
 
 use crate::client::{self, Kind};
-use crate::engine::{EVENTS, Engine};
+use crate::engine::{EVENTS, Engine, EngineSpec, Framing};
 use crate::fleet::{self, Fleet};
 use crate::record::Record;
 use crate::store::Store;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -51,7 +52,14 @@
             ENGINE_ZONES[next % ENGINE_ZONES.len()],
         );
         next += 1;
-        let engine = Engine::start(&id, "lm-desk", zone, fleet::ip(100), &record);
+        let spec = EngineSpec {
+            id: &id,
+            service: "lm-desk",
+            zone,
+            software: "v1",
+            framing: Framing::Close,
+        };
+        let engine = Engine::start(spec, SocketAddr::new(fleet::ip(100), 0), &record);
         store.write("servers", &engine.id, Some(&engine.ready_row));
         engine
     };
--- a/review/standins-2/src/unread.rs
+++ b/review/standins-2/src/unread.rs
@@ -74,8 +74,8 @@
     let zone = WORKER_ZONES[number % WORKER_ZONES.len()];
     Worker::start(
         (&format!("i-{number:04}"), "ledger-app", zone),
-        fleet::ip(100),
-        (false, 6),
+        SocketAddr::new(fleet::ip(100), 0),
+        (false, 6, "v1"),
         record,
         Box::new(run),
     )
