--- a/review/standins-2/src/upgrade.rs
+++ b/review/standins-2/src/upgrade.rs
@@ -27,6 +27,8 @@
 /// How long the engine is down, and how long after its start it writes its row: `heartbeatMs`.
 const DOWN: Duration = Duration::from_millis(300);
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// The time between two crashes, as in the days of the site.
+const APART: Duration = Duration::from_millis(3_500);
 /// The joined streams that the rule permits.
 const MAX_JOINED: usize = 2;
 
@@ -120,7 +122,7 @@
             store.write("servers", &id, Some(&engines[index].ready_row));
             record.note(format!("round {round}: {id} writes its row"));
         }
-        thread::sleep(Duration::from_millis(800));
+        thread::sleep(APART - DOWN - HEARTBEAT);
         stop.store(true, std::sync::atomic::Ordering::SeqCst);
         if has_trouble {
             engines[index].kill();
@@ -136,8 +138,7 @@
             engines[index] = Engine::start(spec(&new_id, &zone, "1.0.0"), any_port, &record);
             store.write("servers", &new_id, Some(&engines[index].ready_row));
         }
-        // Long enough for what is known of the other version to be forgotten.
-        thread::sleep(Duration::from_millis(2_000));
+        thread::sleep(APART);
     }
     let all_run = fleet.all_run();
     drop(fleet);
