--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,6 +4,7 @@
 //! The decisions are made in [`cactusspur_core::gateway`]. A platform implements
 //! [`protocol::PlatformProtocol`] and [`store::MetadataStore`], which translate its formats.
 
+pub mod beats;
 pub mod brittle;
 pub mod call;
 pub mod clock;
@@ -41,6 +42,7 @@
 pub mod version_records;
 pub mod versions;
 pub mod watch;
+pub mod watch_duty;
 pub mod weights;
 pub mod weights_records;
 
@@ -138,6 +140,8 @@
     pub is_rolling_out: Cell<bool>,
     /// Notified when the store has returned from a backup.
     pub store_restored: Notify,
+    /// Notified when another gateway of the failure domain may have stopped polling the store.
+    pub pollers_changed: Notify,
     /// Notified when the store answers again after a failure.
     pub store_answers: Notify,
     /// Notified when requests with some prompt parts are refused from now on.
@@ -211,6 +215,7 @@
             shutdown: Cell::new(None),
             is_rolling_out: Cell::new(false),
             store_restored: Notify::new(),
+            pollers_changed: Notify::new(),
             store_answers: Notify::new(),
             quarantine_changed: Notify::new(),
             quarantine_settles_at_ms: Cell::new(None),
@@ -224,6 +229,7 @@
         });
         let store = Rc::new(store);
         peers::spawn(&shared)?;
+        beats::spawn(&shared);
         watch::spawn(&shared, &store);
         list_check::spawn(&shared, &store, awaited_checks);
         weights::spawn(&shared, &store);
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -7,7 +7,10 @@
 //! costs a few messages.
 
 use {
-    super::{notice::Notice, store_polls::PollTimes},
+    super::{
+        notice::Notice,
+        store_polls::{PollPlace, PollTimes},
+    },
     cactusspur_core::{
         DurationMs, TimeMs, VecMap, WorkerId,
         gateway::{LimitShare, RequestRate, ServiceKey, SlotShare, rendezvous_score},
@@ -31,14 +34,10 @@
 const LARGE_NEWS_MS: DurationMs = DurationMs(250);
 /// How long a peer counts as running after its last notice.
 const PEER_TIMEOUT_MS: DurationMs = DurationMs(4_000);
-/// How long a peer counts as a watcher of the store after its last notice. Shorter than
-/// [`PEER_TIMEOUT_MS`], since a change must be in force everywhere within two seconds.
-const WATCHER_TIMEOUT_MS: DurationMs = DurationMs(1_600);
+/// How long a peer counts as a member that may call the store after its last notice.
+const MEMBER_TIMEOUT_MS: DurationMs = DurationMs(1_600);
 /// The same in a large fleet, where a member's notice arrives by way of a digest.
-const LARGE_WATCHER_TIMEOUT_MS: DurationMs = DurationMs(2_600);
-/// Checks of a failure domain's members, all together, for one call by a member that isn't a watcher
-/// while the store answers none.
-const CHECKS_PER_TRY: u64 = 4;
+const LARGE_MEMBER_TIMEOUT_MS: DurationMs = DurationMs(2_600);
 /// How long a silent peer is remembered. A peer behind a network partition may continue to spend
 /// its share of a common budget.
 const FORGET_AFTER_MS: DurationMs = DurationMs(60_000);
@@ -65,10 +64,9 @@
 const MIN_LOCAL_HELPERS: usize = 2;
 /// The key of the order of a failure domain's members.
 const DOMAIN_ORDER_KEY: u64 = 0;
-/// Gateways of a failure domain that poll the store: one, and a second in case the first fails.
-const MAX_WATCHERS: usize = 2;
-/// The same in a large fleet. While it is replaced, the domain gets changes from other ones.
-const LARGE_MAX_WATCHERS: usize = 1;
+/// Gateways of a failure domain that poll the store. While one is replaced, the domain gets changes from other
+/// domains.
+const MAX_WATCHERS: usize = 1;
 
 /// A fraction of 2^32 for an address. Those of addresses in a row are spread evenly (Fibonacci hashing).
 fn spread_evenly(address: SocketAddr) -> u64 {
@@ -142,6 +140,21 @@
     pub address: SocketAddr,
 }
 
+/// What a gateway knows of the members of its failure domain that poll the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DomainPollers {
+    /// The number of members that should poll.
+    pub needed: usize,
+    /// The other members that do.
+    pub running: usize,
+    /// Those of them that come before this gateway in the domain's order.
+    pub ahead: usize,
+    /// All members that were heard lately, this gateway included.
+    pub members: usize,
+    /// The time until none of the others counts as polling, unless one is heard.
+    pub lapse_ms: DurationMs,
+}
+
 /// A group of receivers of a digest.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Branch {
@@ -215,6 +228,14 @@
         self.was_heard_within(PEER_TIMEOUT_MS, now) && !self.is_stopping
     }
 
+    /// Whether the peer polls the store, as far as known.
+    fn is_polling(&self, times: PollTimes, now: TimeMs) -> bool {
+        let is_answered = self
+            .store_answered_at_ms
+            .is_some_and(|at_ms| now.since(at_ms) < times.watcher_answer_ms());
+        is_answered && !self.is_stopping && self.was_heard_within(times.beat_timeout_ms(), now)
+    }
+
     fn is_trusted(&self, now: TimeMs) -> bool {
         self.is_running(now) && now >= self.suspicion.until_ms && !self.name.is_empty()
     }
@@ -497,9 +518,10 @@
     }
 
     /// The members of this failure domain to which this gateway hands a table that has changed: its
-    /// children in trees whose roots are the members that poll the store.
+    /// children in a tree of all members, and the tree's root with its children if the change comes from outside
+    /// of the domain, whichever member it reaches first.
     #[must_use]
-    pub fn children(&self, now: TimeMs) -> Vec<SocketAddr> {
+    pub fn children(&self, is_from_outside: bool, now: TimeMs) -> Vec<SocketAddr> {
         let members = self.trusted_in(&self.own.domain, now);
         let mut order: Vec<(Reverse<u64>, Option<SocketAddr>)> = members
             .map(|peer| {
@@ -511,9 +533,17 @@
         order.push((own_rank, None));
         order.sort_unstable();
         let own_position = order.iter().position(|row| row.1.is_none()).unwrap_or(0);
-        let first_child = self.max_watchers(now) + own_position * TREE_CHILDREN;
-        let children = order.iter().skip(first_child).take(TREE_CHILDREN);
-        children.filter_map(|row| row.1).collect()
+        let first_child = MAX_WATCHERS + own_position * TREE_CHILDREN;
+        let first_levels = if is_from_outside {
+            MAX_WATCHERS + TREE_CHILDREN
+        } else {
+            0
+        };
+        let receivers = order.iter().enumerate().filter(|(position, _)| {
+            let is_child = (first_child..first_child + TREE_CHILDREN).contains(position);
+            is_child || *position < first_levels
+        });
+        receivers.filter_map(|(_, row)| row.1).collect()
     }
 
     /// Describes all members of this failure domain, this gateway included.
@@ -707,16 +737,6 @@
         self.rows.iter().any(|peer| peer.is_running(now))
     }
 
-    /// The number of members of a failure domain that poll the store.
-    #[must_use]
-    pub fn max_watchers(&self, now: TimeMs) -> usize {
-        if self.is_large_fleet(now) {
-            LARGE_MAX_WATCHERS
-        } else {
-            MAX_WATCHERS
-        }
-    }
-
     /// Records that the store answered this gateway.
     pub fn record_store_answer(&mut self, now: TimeMs) {
         self.own_store_answered_at_ms = Some(now);
@@ -772,47 +792,71 @@
         chosen.map(|peer| peer.address).collect()
     }
 
-    /// Returns whether this gateway should poll the store. Only [`Self::max_watchers`] of each failure
-    /// domain do: those that the store answers, and for the rest those that come first in the domain's
-    /// order. The others get changes from them. When too many poll, those that come last stop.
-    ///
-    /// If the store answers none of the members, it may have turned away only those that come first:
-    /// each other one tries it now and then, as `random` decides, at a rate that is bounded for the
-    /// domain.
+    /// What this gateway knows of the members of its failure domain that poll the store.
     #[must_use]
-    pub fn should_watch_store(
-        &self,
-        is_polling: bool,
-        times: PollTimes,
-        random: u64,
-        now: TimeMs,
-    ) -> bool {
+    pub fn domain_pollers(&self, times: PollTimes, now: TimeMs) -> DomainPollers {
         let own_rank = gateway_rank(&self.own.name, DOMAIN_ORDER_KEY);
+        let pollers = self
+            .rows
+            .iter()
+            .filter(|peer| peer.domain == self.own.domain && peer.is_polling(times, now));
+        let heard = pollers.clone().filter_map(|peer| peer.last_notice_at_ms);
+        let is_ahead = |peer: &&Peer| gateway_rank(&peer.name, DOMAIN_ORDER_KEY) > own_rank;
         let timeout_ms = if self.is_large_fleet(now) {
-            LARGE_WATCHER_TIMEOUT_MS
+            LARGE_MEMBER_TIMEOUT_MS
         } else {
-            WATCHER_TIMEOUT_MS
-        };
-        let is_recent = |answered_at_ms: Option<TimeMs>| {
-            answered_at_ms.is_some_and(|at_ms| now.since(at_ms) < times.watcher_answer_ms())
+            MEMBER_TIMEOUT_MS
         };
         let members = self.rows.iter().filter(|peer| {
             peer.domain == self.own.domain
                 && peer.was_heard_within(timeout_ms, now)
                 && !peer.is_stopping
         });
-        let is_ahead = |peer: &&Peer| gateway_rank(&peer.name, DOMAIN_ORDER_KEY) > own_rank;
-        let (answered, unanswered): (Vec<&Peer>, Vec<&Peer>) =
-            members.partition(|peer| is_recent(peer.store_answered_at_ms));
-        let max_watchers = self.max_watchers(now);
-        if is_polling && is_recent(self.own_store_answered_at_ms) {
-            return answered.into_iter().filter(is_ahead).count() < max_watchers;
+        let heard_at_ms = heard.max().unwrap_or(now);
+        DomainPollers {
+            needed: MAX_WATCHERS,
+            running: pollers.clone().count(),
+            ahead: pollers.filter(is_ahead).count(),
+            members: members.count() + 1,
+            lapse_ms: heard_at_ms.after(times.beat_timeout_ms()).since(now),
+        }
+    }
+
+    /// Whether a peer polls the store, as far as known.
+    #[must_use]
+    pub fn is_polling(&self, address: SocketAddr, times: PollTimes, now: TimeMs) -> bool {
+        let peer = self.position(address).map(|index| &self.rows[index]);
+        peer.is_ok_and(|peer| peer.is_polling(times, now))
+    }
+
+    /// The place of this gateway's failure domain among all known ones, by their names.
+    #[must_use]
+    pub fn poll_place(&self) -> PollPlace {
+        let mut domains = self.domains();
+        domains.push(&self.own.domain);
+        domains.sort_unstable();
+        domains.dedup();
+        domains.retain(|domain| !domain.is_empty());
+        let own = domains.iter().position(|domain| *domain == self.own.domain);
+        PollPlace {
+            number: own.unwrap_or(0) as u64,
+            count: domains.len().max(1) as u64,
         }
-        let missing = max_watchers.saturating_sub(answered.len());
-        let is_first = unanswered.iter().copied().filter(is_ahead).count() < missing;
-        let is_tried = answered.is_empty()
-            && random.is_multiple_of(CHECKS_PER_TRY * (unanswered.len() as u64 + 1));
-        is_first || is_tried
+    }
+
+    /// Running peers of other failure domains that are told of changes, drawn by `random`: at most
+    /// `per_domain` of each domain.
+    #[must_use]
+    pub fn remote_receivers(&self, per_domain: usize, random: u64, now: TimeMs) -> Vec<SocketAddr> {
+        let domains = self.domains().into_iter();
+        let others = domains.filter(|domain| !domain.is_empty() && *domain != self.own.domain);
+        let drawn = others.flat_map(|domain| {
+            let mut running: Vec<&Peer> = self.running_in(domain, now).collect();
+            running.sort_by_key(|peer| gateway_rank(&peer.name, random));
+            running.truncate(per_domain);
+            running
+        });
+        drawn.map(|peer| peer.address).collect()
     }
 
     /// The number of members of this domain, as far as known, that come before this gateway in the
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -136,6 +136,8 @@
     pulls: RefCell<Pulls>,
     version_queries: VersionQueries,
     versions: RefCell<PeerVersions>,
+    /// The newest versions of the tables when the last short notice was sent.
+    last_versions: RefCell<Vec<(String, StoreVersion)>>,
 }
 
 impl PeerGroup {
@@ -172,6 +174,7 @@
             pulls: RefCell::default(),
             version_queries: VersionQueries::default(),
             versions: RefCell::default(),
+            last_versions: RefCell::default(),
         })
     }
 
@@ -443,7 +446,7 @@
             name: self.name.clone(),
             domain: shared.settings.domain.clone(),
             known_peers: sample_addresses(&state.peers.addresses().collect::<Vec<_>>()),
-            store_age_ms: state.store_age_ms(now()),
+            store_age_ms: state.poll_age_ms(now()),
             newest_versions: state.replica.newest_versions(),
             weights: state.weights_notices(now()),
             past_versions: state.past_versions(now()),
@@ -555,7 +558,7 @@
             address: self.address,
             name: self.name.clone(),
             age_ms: DurationMs(0),
-            store_age_ms: state.store_age_ms(now),
+            store_age_ms: state.poll_age_ms(now),
             is_stopping: shared.is_stopping(),
             out_of_reach: state.reach.lost_keys(),
         }
@@ -626,23 +629,8 @@
         self.send_to(notice, local_peers.iter());
     }
 
-    /// Sends peers of this failure domain a status notice after a table has changed: all of them, or
-    /// in a large fleet those that this gateway hands tables to. They pull the changes from this
-    /// gateway, so that not all of them call the store.
-    pub fn announce_in_domain(&self, shared: &Shared) {
-        let now = now();
-        let state = shared.state.borrow();
-        let receivers: Vec<SocketAddr> = if state.peers.is_large_fleet(now) {
-            state.peers.children(now)
-        } else {
-            state.peers.domain_addresses().collect()
-        };
-        drop(state);
-        self.announce_to(shared, &receivers);
-    }
-
     /// Sends some peers a status notice.
-    fn announce_to(&self, shared: &Shared, peers: &[SocketAddr]) {
+    pub(super) fn announce_to(&self, shared: &Shared, peers: &[SocketAddr]) {
         // The queued requests, loads and parts stay queued for the next notice to all peers.
         let notice = Notice {
             address: Some(self.address),
@@ -654,7 +642,7 @@
         self.send_to(notice, peers.iter());
     }
 
-    fn send_to<'a, A>(&self, notice: Notice, receivers: A)
+    pub(super) fn send_to<'a, A>(&self, notice: Notice, receivers: A)
     where
         A: Iterator<Item = &'a SocketAddr>,
     {
@@ -689,6 +677,14 @@
         }
     }
 
+    /// Records the newest versions of the tables at a short notice. Returns those at the one before.
+    pub(super) fn exchange_versions(
+        &self,
+        versions: Vec<(String, StoreVersion)>,
+    ) -> Vec<(String, StoreVersion)> {
+        self.last_versions.replace(versions)
+    }
+
     /// The key that seals messages.
     pub(super) const fn key(&self) -> &PeerKey {
         &self.key
@@ -811,17 +807,18 @@
 }
 
 fn handle_datagram(shared: &Rc<Shared>, envelope: Envelope<PeerRequest>) {
-    let origin = Origin::of(envelope.from);
     match envelope.message {
-        PeerRequest::Notice(notice) => handle_notice(shared, &notice),
+        PeerRequest::Notice(notice) => handle_notice(shared, envelope.from, &notice),
         PeerRequest::Join(notice) => {
-            handle_notice(shared, &notice);
+            handle_notice(shared, envelope.from, &notice);
             if let Some(address) = notice.address {
                 shared.peers.versions.borrow_mut().forget(address);
                 shared.peers.send_membership(shared, address);
             }
         }
-        PeerRequest::NoticeToMerge(notice) => handle_notice_to_merge(shared, origin, &notice),
+        PeerRequest::NoticeToMerge(notice) => {
+            handle_notice_to_merge(shared, envelope.from, &notice);
+        }
         PeerRequest::Digest {
             pass_on_to,
             is_to_merge,
@@ -850,10 +847,10 @@
 }
 
 /// Handles a notice of a member of this failure domain, which this gateway merges with others.
-fn handle_notice_to_merge(shared: &Rc<Shared>, origin: Origin, notice: &Notice) {
-    handle_notice(shared, notice);
+fn handle_notice_to_merge(shared: &Rc<Shared>, sender: EntryId, notice: &Notice) {
+    handle_notice(shared, sender, notice);
     let mut state = shared.state.borrow_mut();
-    state.collector.add_notice(origin, notice);
+    state.collector.add_notice(Origin::of(sender), notice);
     // The sender may not know the member that comes first in the order.
     let is_elsewhere = notice.status.is_some() && state.peers.aggregator(now()).is_some();
     drop(state);
@@ -911,7 +908,8 @@
     }
 }
 
-fn handle_notice(shared: &Rc<Shared>, notice: &Notice) {
+/// Handles a notice that `sender` sent or relayed.
+fn handle_notice(shared: &Rc<Shared>, sender: EntryId, notice: &Notice) {
     let Some(address) = notice.address else {
         return;
     };
@@ -924,20 +922,19 @@
     for other in status.map_or(&[][..], |status| &status.known_peers) {
         state.peers.add(*other);
     }
+    let times = state.store_polls.times();
+    let was_polling = state.peers.is_polling(address, times, now);
     let is_new = state.peers.record_notice(address, notice, now);
+    if was_polling && !state.peers.is_polling(address, times, now) {
+        shared.pollers_changed.notify_waiters();
+    }
     state.apply_notice(notice, now);
     if !notice.streams.is_empty() {
         shared.streams_learned.notify_waiters();
     }
     let is_large_fleet = state.peers.is_large_fleet(now);
     let is_local = state.peers.is_in_domain(address);
-    // A gateway that doesn't poll hears of changes from those of its domain that do.
-    let times = state.store_polls.times();
-    let store_age_ms = state.store_age_ms(now).filter(|_| {
-        state
-            .peers
-            .should_watch_store(true, times, rand::random(), now)
-    });
+    let store_age_ms = state.poll_age_ms(now);
     drop(state);
     quarantine::apply(shared, &notice.quarantine);
     if is_new {
@@ -950,10 +947,46 @@
     for (store, incarnation) in &status.kept_stores {
         kept_stores::record_answer(shared, *store, *incarnation);
     }
-    let wait = pull_delay(is_local, is_large_fleet, store_age_ms, times);
+    let news = ChangeNews {
+        is_local,
+        is_direct: sender == EntryId::from_name(&status.name),
+        is_large_fleet,
+    };
+    let wait = news.pull_delay(store_age_ms, times, rand::random());
     pull_if_behind(shared, address, &status.newest_versions, wait);
 }
 
+/// How a gateway hears that a peer knows a newer version of a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChangeNews {
+    /// Whether the peer is in the gateway's failure domain.
+    pub is_local: bool,
+    /// Whether the peer itself sent the notice, and not one that relays it to all members of a domain.
+    pub is_direct: bool,
+    /// Whether the fleet is large.
+    pub is_large_fleet: bool,
+}
+
+impl ChangeNews {
+    /// How long the gateway waits before it pulls the version from the peer, by how long ago the store last
+    /// answered the gateway; `None` if it doesn't poll. `random` spreads the pulls of a domain's members.
+    #[must_use]
+    pub fn pull_delay(
+        self,
+        store_age_ms: Option<DurationMs>,
+        times: PollTimes,
+        random: u64,
+    ) -> Duration {
+        let spread = Duration::from_millis(random % times.pull_spread_ms().0.max(1));
+        match (self.is_local, self.is_direct) {
+            (true, _) if store_age_ms.is_none() => spread,
+            // Few gateways of each domain are told themselves. Their own domain usually comes first.
+            (false, true) => Duration::from_millis(times.pull_delay_ms().0) + spread,
+            _ => pull_delay(self.is_local, self.is_large_fleet, store_age_ms, times),
+        }
+    }
+}
+
 /// How long a gateway waits before it pulls a newer version from the peer that announced it, by
 /// whether the peer is in its failure domain, whether the fleet is large, and how long ago the store
 /// last answered this gateway; `None` if it doesn't poll.
@@ -1012,6 +1045,6 @@
     let heads: Vec<String> = tables.iter().map(|table| table.head.to_string()).collect();
     tracing::info!(%address, ?heads, "tables pulled from a peer");
     for table in tables {
-        watch::merge(shared, table);
+        watch::merge(shared, table, address);
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,6 +14,7 @@
         removed::RemovedBackends,
         replica::{Replica, StoreVersion, StoredRow},
         store_polls::{PollTimes, StorePolls},
+        watch_duty::{Duty, WatchDuty},
     },
     cactusspur_core::{
         DurationMs, EntryId, TimeMs, VecMap, WeightsVersion, WorkerId,
@@ -115,6 +116,8 @@
     restored_at_ms: Option<TimeMs>,
     /// The calls to the store.
     pub store_polls: StorePolls,
+    /// The part of this gateway in polling the store.
+    pub watch_duty: WatchDuty,
 }
 
 impl GatewayState {
@@ -168,6 +171,7 @@
             store_era: None,
             restored_at_ms: None,
             store_polls: StorePolls::new(times, &[]),
+            watch_duty: WatchDuty::new(times),
         }
     }
 
@@ -200,6 +204,32 @@
         self.peers.record_store_answer(now);
     }
 
+    /// What to do next to keep the copies of the tables up to date.
+    pub fn next_duty(&mut self, random: u64, now: TimeMs) -> Duty {
+        let times = self.store_polls.times();
+        let pollers = self.peers.domain_pollers(times, now);
+        let was_polling = self.watch_duty.is_polling();
+        let duty = self.watch_duty.next(pollers, random, now);
+        if was_polling && !self.watch_duty.is_polling() {
+            tracing::info!(?pollers, "another gateway polls the store instead");
+        }
+        if duty == Duty::Poll {
+            self.store_polls.set_place(self.peers.poll_place());
+            if !self.watch_duty.is_polling() {
+                self.store_polls.confirm();
+            }
+        }
+        duty
+    }
+
+    /// The time since the store last answered, if this gateway polls it. What gateways tell each other:
+    /// those that don't poll can't tell of changes.
+    #[must_use]
+    pub fn poll_age_ms(&self, now: TimeMs) -> Option<DurationMs> {
+        self.store_age_ms(now)
+            .filter(|_| self.watch_duty.is_polling())
+    }
+
     /// The time since the store last answered; `None` if it never did.
     #[must_use]
     pub fn store_age_ms(&self, now: TimeMs) -> Option<DurationMs> {
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -27,6 +27,9 @@
     /// The time since the store last answered this gateway; `None` if it never did, as when the
     /// gateway gets the tables from its peers.
     pub store_age_ms: Option<DurationMs>,
+    /// Whether this gateway polls the store, which one of each failure domain does.
+    #[serde(default)]
+    pub polls_store: bool,
     /// Each watched table's name and the store version up to which the copy is complete.
     pub tables: Vec<(String, u64)>,
     /// How often the store has returned from a backup.
@@ -158,6 +161,7 @@
             is_rolling_out: shared.is_rolling_out.get(),
             configuration: state.routing.as_ref().map(|routing| routing.version),
             store_age_ms: state.store_age_ms(now),
+            polls_store: state.watch_duty.is_polling(),
             tables: state
                 .replica
                 .heads()
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -26,6 +26,8 @@
         rows: Vec<StoredRow>,
         /// The version of the store up to which they are complete.
         head: StoreVersion,
+        /// The store's monotonic clock when it answered.
+        store_now_ms: TimeMs,
     },
     /// The store no longer has the changes since that version, or has returned from a backup; the whole
     /// table must be read.
--- a/src/gateway/store_polls.rs
+++ b/src/gateway/store_polls.rs
@@ -85,6 +85,34 @@
         DurationMs(self.hold_ms().0 / 2) + self.answer_ms(0)
     }
 
+    /// The time between two polls of a table by a gateway, if some table is polled from `turns` places and
+    /// tables in turn: with more of them each one waits longer.
+    #[must_use]
+    pub fn poll_period_ms(self, turns: u64) -> DurationMs {
+        let longest_ms = self.hold_ms().0;
+        let period_ms = (turns * self.change_limit_ms.0 / 8).clamp(longest_ms / 2, longest_ms);
+        DurationMs(period_ms)
+    }
+
+    /// The time between two notices of a gateway that polls the store to its failure domain.
+    #[must_use]
+    pub const fn beat_period_ms(self) -> DurationMs {
+        DurationMs(self.change_limit_ms.0 / 15)
+    }
+
+    /// The silence after which a gateway no longer counts as one that polls the store.
+    #[must_use]
+    pub const fn beat_timeout_ms(self) -> DurationMs {
+        DurationMs(self.change_limit_ms.0 / 6)
+    }
+
+    /// The longest wait before a pull from the failure domain's poller, drawn so that its members don't all
+    /// pull at the same moment.
+    #[must_use]
+    pub const fn pull_spread_ms(self) -> DurationMs {
+        DurationMs(self.change_limit_ms.0 / 60)
+    }
+
     /// How long a gateway counts as a watcher after the store last answered it.
     #[must_use]
     pub fn watcher_answer_ms(self) -> DurationMs {
@@ -127,6 +155,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct CallInProgress {
+    number: u64,
     /// When the store answers at the latest, if it works.
     due_at_ms: TimeMs,
 }
@@ -138,6 +167,10 @@
     failures: u32,
     not_before_ms: TimeMs,
     in_progress: Option<CallInProgress>,
+    /// Whether the last call was not answered in time.
+    is_late: bool,
+    /// Whether the next call must be answered at once.
+    is_unconfirmed: bool,
     /// Calls with a lower number are given up.
     superseded_before: u64,
 }
@@ -154,6 +187,29 @@
     tables: Vec<TablePolls>,
     last_number: u64,
     retry_at_ms: TimeMs,
+    place: PollPlace,
+    /// The store's clock, and this gateway's clock when the store told it.
+    store_clock: Option<(TimeMs, TimeMs)>,
+    /// Until a call with this number or a later one is answered, one call is made at a time.
+    confirmed_by: Option<u64>,
+}
+
+/// The place of a gateway among those that poll the store, one in each failure domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PollPlace {
+    /// The number of the place, starting at 0.
+    pub number: u64,
+    /// The number of places.
+    pub count: u64,
+}
+
+impl Default for PollPlace {
+    fn default() -> Self {
+        Self {
+            number: 0,
+            count: 1,
+        }
+    }
 }
 
 impl StorePolls {
@@ -165,6 +221,8 @@
             failures: 0,
             not_before_ms: TimeMs(0),
             in_progress: None,
+            is_late: false,
+            is_unconfirmed: false,
             superseded_before: 0,
         });
         Self {
@@ -172,6 +230,39 @@
             tables: tables.collect(),
             last_number: 0,
             retry_at_ms: TimeMs(0),
+            place: PollPlace::default(),
+            store_clock: None,
+            confirmed_by: None,
+        }
+    }
+
+    /// Sets this gateway's place among those that poll. The polls of all places end at evenly spaced times of
+    /// the store's clock, so that one of them soon notices when the store can't be reached.
+    pub fn set_place(&mut self, place: PollPlace) {
+        self.place = place;
+    }
+
+    /// The polls of all tables and places, which end in turn.
+    fn turns(&self) -> u64 {
+        (self.place.count * self.tables.len() as u64).max(1)
+    }
+
+    fn period_ms(&self) -> DurationMs {
+        self.times.poll_period_ms(self.turns())
+    }
+
+    /// Records the store's clock, as an answer tells it.
+    pub fn record_store_clock(&mut self, store_now_ms: TimeMs, now: TimeMs) {
+        self.store_clock = Some((store_now_ms, now));
+    }
+
+    /// Makes the next call for each table one that the store answers at once, and one at a time until one is
+    /// answered.
+    pub fn confirm(&mut self) {
+        let next_number = self.last_number + 1;
+        self.confirmed_by.get_or_insert(next_number);
+        for polls in &mut self.tables {
+            polls.is_unconfirmed = true;
         }
     }
 
@@ -203,10 +294,11 @@
             return NextCall::Wait(may_call_at_ms.since(now));
         }
         let failures = polls.failures;
-        if failures > 0 && self.is_turn_of_another(index) {
+        if self.is_confirming_another(index) || failures > 0 && self.is_turn_of_another(index) {
             return NextCall::Wait(self.times.min_retry_ms());
         }
-        let hold_ms = if failures > 0 {
+        let is_unconfirmed = std::mem::take(&mut self.tables[index].is_unconfirmed);
+        let hold_ms = if failures > 0 || is_unconfirmed {
             DurationMs(0)
         } else {
             self.hold_ms(index, random, now)
@@ -216,6 +308,7 @@
         }
         self.last_number += 1;
         self.tables[index].in_progress = Some(CallInProgress {
+            number: self.last_number,
             due_at_ms: now.after(hold_ms),
         });
         NextCall::Now(StoreCall {
@@ -225,6 +318,17 @@
         })
     }
 
+    /// Whether a call for another table is in progress that is to show that the store answers.
+    fn is_confirming_another(&self, index: usize) -> bool {
+        let Some(first_number) = self.confirmed_by else {
+            return false;
+        };
+        self.tables.iter().enumerate().any(|(other, polls)| {
+            let call = polls.in_progress;
+            other != index && call.is_some_and(|call| call.number >= first_number)
+        })
+    }
+
     /// Whether another table whose calls fail is called now, or failed less often.
     fn is_turn_of_another(&self, index: usize) -> bool {
         let failures = self.tables[index].failures;
@@ -237,7 +341,10 @@
 
     /// How long the store may hold a poll, so that the polls of all tables end at evenly spaced times.
     fn hold_ms(&self, index: usize, random: u64, now: TimeMs) -> DurationMs {
-        let longest_ms = self.times.hold_ms();
+        if let Some(hold_ms) = self.hold_until_turn_ms(index, now) {
+            return hold_ms;
+        }
+        let longest_ms = self.period_ms();
         let others = self.tables.iter().enumerate();
         let others = others.filter(|(other, _)| *other != index);
         let dues = others.filter_map(|(_, polls)| Some(polls.in_progress?.due_at_ms));
@@ -254,6 +361,24 @@
         }
     }
 
+    /// How long the store may hold a poll so that it ends at its turn among the polls of all tables and
+    /// places; `None` while the store's clock isn't known.
+    fn hold_until_turn_ms(&self, index: usize, now: TimeMs) -> Option<DurationMs> {
+        let (store_now_ms, at_ms) = self.store_clock?;
+        let period_ms = self.period_ms().0.max(1);
+        let turn = self.place.number * self.tables.len() as u64 + index as u64;
+        let turn_ms = period_ms * turn / self.turns();
+        let elapsed_ms = (store_now_ms.0 + now.since(at_ms).0) % period_ms;
+        let hold_ms = (turn_ms + period_ms - elapsed_ms) % period_ms;
+        // A poll that ends sooner would cost a call and tell little.
+        let is_short = hold_ms < period_ms / 8;
+        Some(DurationMs(if is_short {
+            hold_ms + period_ms
+        } else {
+            hold_ms
+        }))
+    }
+
     /// Records the answer to a call. The next call for the table is made after `pause_ms`. Returns
     /// the number of earlier calls for the table that failed in a row.
     pub fn record_answer(
@@ -269,6 +394,10 @@
         let polls = &mut self.tables[index];
         polls.not_before_ms = now.after(pause_ms);
         polls.in_progress = None;
+        polls.is_late = false;
+        if self.confirmed_by.is_some_and(|first| call.number >= first) {
+            self.confirmed_by = None;
+        }
         let failures = std::mem::take(&mut polls.failures);
         if failures > 0 {
             self.retry_at_ms = now;
@@ -279,14 +408,25 @@
         failures
     }
 
+    /// Whether calls fail, and not just one on a connection that had been closed: calls for a table failed
+    /// more than once, or a call was not answered in time.
+    #[must_use]
+    pub fn is_failing(&self) -> bool {
+        self.tables
+            .iter()
+            .any(|polls| polls.failures > 1 || polls.is_late)
+    }
+
     /// Records that a call failed. Returns the number of calls for the table that failed in a row.
-    pub fn record_failure(&mut self, table: &str, _call: StoreCall, now: TimeMs) -> u32 {
+    pub fn record_failure(&mut self, table: &str, call: StoreCall, now: TimeMs) -> u32 {
         let Some(index) = self.position(table) else {
             return 0;
         };
         let polls = &mut self.tables[index];
         polls.failures += 1;
-        polls.in_progress = None;
+        let due_at_ms = polls.in_progress.take().map(|call| call.due_at_ms);
+        let answer_ms = call.answer_within_ms.saturating_sub(call.hold_ms);
+        polls.is_late = due_at_ms.is_some_and(|due_ms| now.since(due_ms) >= answer_ms);
         let failures = polls.failures;
         // The first call of an outage may have been made long ago, and the next one is made at once.
         if failures > 1 {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -2,19 +2,20 @@
 
 use {
     super::{
-        Shared,
+        Shared, beats,
         clock::now,
         peer_table::Peers,
         quarantine,
         replica::{StoreVersion, TableChanges, TableCopy},
         store::{Changes, MetadataStore, StoreError, WriteResult},
         store_polls::{NextCall, StoreCall},
+        watch_duty::Duty,
     },
     cactusspur_core::{
         DurationMs, TimeMs,
         gateway::{AgeSource, AnnouncedAt},
     },
-    std::{rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
@@ -24,10 +25,8 @@
 /// The same in a large fleet, where some row changes nearly always and changes must be in force
 /// within several seconds.
 const LARGE_CHANGE_DELAY_MS: DurationMs = DurationMs(500);
-/// How often a gateway that isn't a watcher checks whether it should become one.
-const WATCHER_CHECK_PERIOD: Duration = Duration::from_millis(250);
 /// How often a gateway that waits for a peer's copy of a table checks whether to go on waiting.
-const UNKNOWN_CHECK_PERIOD: Duration = Duration::from_millis(100);
+const UNKNOWN_CHECK_PERIOD_MS: DurationMs = DurationMs(100);
 /// The table in which gateways register their addresses.
 const GATEWAYS_TABLE: &str = "gateways";
 /// The waits before a gateway registers its address and reads the others' addresses. It does so
@@ -167,17 +166,12 @@
 {
     sleep(JOIN_WAIT).await;
     let started_at_ms = now();
-    let mut is_polling = true;
     loop {
+        let pollers_changed = shared.pollers_changed.notified();
         let is_known = shared.state.borrow().replica.head(table).is_some();
-        is_polling = should_poll(&shared, is_known, is_polling, started_at_ms);
-        if !is_polling {
-            let wait = if is_known {
-                WATCHER_CHECK_PERIOD
-            } else {
-                UNKNOWN_CHECK_PERIOD
-            };
-            sleep(wait).await;
+        if let Duty::Wait(wait_ms) = next_duty(&shared, is_known, started_at_ms) {
+            // Times out unless another gateway has stopped polling.
+            let _ = timeout(Duration::from_millis(wait_ms.0), pollers_changed).await;
             continue;
         }
         let next = shared
@@ -238,7 +232,17 @@
         (true, true) => LARGE_CHANGE_DELAY_MS,
     };
     let failures = state.store_polls.record_answer(table, call, pause_ms, now);
+    let begins = state.watch_duty.record_answer();
     drop(state);
+    if begins {
+        tracing::info!(
+            table,
+            "polls the store, since no other gateway of the failure domain does"
+        );
+        metrics::counter!("cactusspur_store_poller_changes_total").increment(1);
+        shared.pollers_changed.notify_waiters();
+        beats::send(shared);
+    }
     if failures > 0 {
         shared.store_answers.notify_waiters();
         tracing::info!(
@@ -261,6 +265,22 @@
     let mut state = shared.state.borrow_mut();
     state.record_store_failure(now);
     let failures = state.store_polls.record_failure(table, call, now);
+    let mut stops = false;
+    // A connection that was kept may have been closed while it was idle.
+    if state.store_polls.is_failing() || !state.watch_duty.is_polling() {
+        let members = state
+            .peers
+            .domain_pollers(state.store_polls.times(), now)
+            .members;
+        stops = state
+            .watch_duty
+            .record_failure(members, rand::random(), now);
+    }
+    drop(state);
+    if stops {
+        tracing::info!(table, "no longer polls the store, which does not answer");
+        beats::send(shared);
+    }
     let waited_ms = now.since(called_at_ms).0;
     if failures == 1 {
         tracing::warn!(table, %error, waited_ms, "the store does not answer");
@@ -270,15 +290,16 @@
     metrics::counter!("cactusspur_store_failures_total", "table" => table).increment(1);
 }
 
-/// Whether this gateway should call the store for a table.
-fn should_poll(shared: &Shared, is_known: bool, is_polling: bool, started_at_ms: TimeMs) -> bool {
-    let state = shared.state.borrow();
+/// What to do next for a table.
+fn next_duty(shared: &Shared, is_known: bool, started_at_ms: TimeMs) -> Duty {
+    let mut state = shared.state.borrow_mut();
     if is_known {
-        state
-            .peers
-            .should_watch_store(is_polling, state.store_polls.times(), rand::random(), now())
+        return state.next_duty(rand::random(), now());
+    }
+    if should_read_unknown(&state.peers, started_at_ms, now()) {
+        Duty::Poll
     } else {
-        should_read_unknown(&state.peers, started_at_ms, now())
+        Duty::Wait(UNKNOWN_CHECK_PERIOD_MS)
     }
 }
 
@@ -290,8 +311,7 @@
     }
     let position = peers.domain_position(now);
     let stagger_ms = PEER_TABLE_STAGGER_MS.0 * position as u64;
-    position < peers.max_watchers(now)
-        || now.since(started_at_ms) >= PEER_TABLE_WAIT_MS + DurationMs(stagger_ms)
+    position == 0 || now.since(started_at_ms) >= PEER_TABLE_WAIT_MS + DurationMs(stagger_ms)
 }
 
 /// Polls the store once. Returns whether the table has changed.
@@ -319,7 +339,16 @@
         .changes(table, head, call.hold_ms, call.answer_within_ms)
         .await?
     {
-        Changes::Rows { rows, head } => {
+        Changes::Rows {
+            rows,
+            head,
+            store_now_ms,
+        } => {
+            shared
+                .state
+                .borrow_mut()
+                .store_polls
+                .record_store_clock(store_now_ms, now());
             let has_changed = !rows.is_empty();
             let copy = TableCopy {
                 name: table.to_owned(),
@@ -377,18 +406,41 @@
     });
     let unchanged_until =
         held.unwrap_or_else(|| shared.state.borrow().unchanged_until(&table, now()));
-    merge_changes(shared, copy, unchanged_until);
+    merge_changes(shared, copy, unchanged_until, Source::Store);
     let mut state = shared.state.borrow_mut();
     state.record_known_until(&table, known_until_ms);
 }
 
-/// Merges a copy of a table, from the store or from a peer, into the local one.
-pub fn merge(shared: &Rc<Shared>, copy: TableCopy) {
-    let unchanged_until = shared.state.borrow().unchanged_until(&copy.name, now());
-    merge_changes(shared, copy, unchanged_until);
+/// Merges a copy of a table that a peer sent into the local one.
+pub fn merge(shared: &Rc<Shared>, copy: TableCopy, peer: SocketAddr) {
+    let state = shared.state.borrow();
+    let unchanged_until = state.unchanged_until(&copy.name, now());
+    let source = if state.peers.is_in_domain(peer) {
+        Source::Domain
+    } else {
+        Source::OtherDomain
+    };
+    drop(state);
+    merge_changes(shared, copy, unchanged_until, source);
+}
+
+/// Where rows come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The store.
+    Store,
+    /// A peer of this failure domain.
+    Domain,
+    /// A peer of another failure domain.
+    OtherDomain,
 }
 
-fn merge_changes(shared: &Rc<Shared>, copy: TableCopy, unchanged_until: AnnouncedAt) {
+fn merge_changes(
+    shared: &Rc<Shared>,
+    copy: TableCopy,
+    unchanged_until: AnnouncedAt,
+    source: Source,
+) {
     let table = copy.name.clone();
     let mut state = shared.state.borrow_mut();
     let changes = state.replica.apply(copy);
@@ -399,10 +451,16 @@
         metrics::counter!("cactusspur_store_eras_total").increment(1);
         shared.store_restored.notify_waiters();
     }
-    apply(shared, &table, &changes, unchanged_until);
+    apply(shared, &table, &changes, unchanged_until, source);
 }
 
-fn apply(shared: &Rc<Shared>, table: &str, changes: &TableChanges, unchanged_until: AnnouncedAt) {
+fn apply(
+    shared: &Rc<Shared>,
+    table: &str,
+    changes: &TableChanges,
+    unchanged_until: AnnouncedAt,
+    source: Source,
+) {
     if changes.rows.is_empty() {
         return;
     }
@@ -414,7 +472,8 @@
         unchanged_until,
         now(),
     );
-    shared.peers.announce_in_domain(shared);
+    tracing::debug!(table, ?source, rows = changes.rows.len(), "changes applied");
+    beats::announce_change(shared, source);
     if has_effect {
         shared.weights_changed.notify_one();
         shared.weights_ages_changed.notify_one();
--- a/src/operator/gateway.rs
+++ b/src/operator/gateway.rs
@@ -43,6 +43,11 @@
         || "has not answered this gateway".to_owned(),
         |age| format!("answered {} ms ago", age.0),
     );
+    let polls = if status.polls_store {
+        ", which this gateway polls"
+    } else {
+        ""
+    };
     let state = match (status.is_stopping, status.is_rolling_out) {
         (true, _) => "shutting down",
         (false, true) => "rolling weights out",
@@ -51,7 +56,7 @@
     let mut lines = vec![
         format!("{} in {}: {state}", status.name, status.domain),
         format!("  configuration  {}", format_optional(status.configuration)),
-        format!("  store          {store}"),
+        format!("  store          {store}{polls}"),
         format!("  peers          {}", status.peers.join(", ")),
         format!("  messages       version {}", status.messages_version),
         format!("  cached parts   {}", status.cached_parts),
--- a/tests/store_return.rs
+++ b/tests/store_return.rs
@@ -5,8 +5,10 @@
     cactusspur::gateway::{
         notice::{Notice, StatusNotice},
         peer_table::{DomainSummary, Member, OwnIdentity, Peers, gateway_rank},
-        peers::pull_delay,
+        peers::ChangeNews,
         store_polls::{NextCall, PollTimes, StoreCall, StorePolls},
+        watch::Source,
+        watch_duty::{Duty, WatchDuty},
     },
     cactusspur_core::{DurationMs, TimeMs},
     rand::{RngExt, SeedableRng, rngs::StdRng},
@@ -20,7 +22,6 @@
 const TABLES: [&str; 2] = ["configuration", "servers"];
 const NOTICE_PERIOD_MS: DurationMs = DurationMs(1_000);
 const DIGEST_PERIOD_MS: DurationMs = DurationMs(500);
-const CHECK_PERIOD_MS: DurationMs = DurationMs(250);
 const CHANGE_PAUSE_MS: DurationMs = DurationMs(250);
 /// The time that a pull from a peer takes.
 const PULL_MS: DurationMs = DurationMs(20);
@@ -44,13 +45,43 @@
     failure: Failure,
     from_ms: TimeMs,
     until_ms: TimeMs,
-    /// Only gateways whose numbers have this remainder when divided by 3 are affected.
-    only_third: Option<usize>,
+    affected: Affected,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Affected {
+    All,
+    /// Gateways whose numbers have this remainder when divided by 3.
+    Third(usize),
+    /// Gateways whose bits are set.
+    Some(Set),
+}
+
+/// A set of gateways.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Set([u64; 5]);
+
+impl Set {
+    fn insert(&mut self, number: usize) {
+        self.0[number / 64] |= 1 << (number % 64);
+    }
+
+    fn has(&self, number: usize) -> bool {
+        self.0[number / 64] & 1 << (number % 64) != 0
+    }
+
+    fn len(&self) -> u32 {
+        self.0.iter().map(|bits| bits.count_ones()).sum()
+    }
 }
 
 impl Outage {
     fn affects(&self, gateway: usize, now: TimeMs) -> bool {
-        let is_affected = self.only_third.is_none_or(|third| gateway % 3 == third);
+        let is_affected = match self.affected {
+            Affected::All => true,
+            Affected::Third(third) => gateway % 3 == third,
+            Affected::Some(set) => set.has(gateway),
+        };
         is_affected && self.from_ms <= now && now < self.until_ms
     }
 }
@@ -67,21 +98,34 @@
     peers: Peers,
     polls: StorePolls,
     store_answered_at_ms: Option<TimeMs>,
-    is_polling: [bool; 2],
+    duty: WatchDuty,
+    beat_at_ms: TimeMs,
     check_at_ms: [TimeMs; 2],
     calls: [Option<CallInProgress>; 2],
     known: [u64; 2],
+    /// The versions at the last short notice.
+    told: [u64; 2],
     /// When to pull, and from whom.
     pulls: Vec<(TimeMs, usize)>,
     notice_at_ms: TimeMs,
 }
 
+/// What a gateway tells another one.
+struct Announcement {
+    from: usize,
+    to: usize,
+    versions: [u64; 2],
+    is_direct: bool,
+}
+
 struct Fleet {
     gateways: Vec<Gateway>,
     domains: usize,
     versions: [u64; 2],
     outage: Option<Outage>,
-    announcements: Vec<(usize, usize, [u64; 2])>,
+    announcements: Vec<Announcement>,
+    /// Gateways that stand still.
+    frozen: Set,
     random: StdRng,
     now: TimeMs,
     call_count: u64,
@@ -116,10 +160,12 @@
             }),
             polls: StorePolls::new(times, &TABLES),
             store_answered_at_ms: None,
-            is_polling: [true; 2],
+            duty: WatchDuty::new(times),
+            beat_at_ms: START.after(DurationMs(random.random_range(0..limit_ms / 15))),
             check_at_ms: [START; 2],
             calls: [None; 2],
             known: [1; 2],
+            told: [1; 2],
             pulls: Vec::new(),
             notice_at_ms: START.after(DurationMs(random.random_range(0..300))),
         });
@@ -130,6 +176,7 @@
             versions: [1; 2],
             outage: None,
             announcements: Vec::new(),
+            frozen: Set::default(),
             random,
             now: START,
             call_count: 0,
@@ -154,7 +201,15 @@
     fn step(&mut self) {
         self.now = self.now.after(STEP_MS);
         self.deliver_announcements();
-        for number in 0..self.gateways.len() {
+        let frozen = self.frozen;
+        for number in (0..self.gateways.len()).filter(|number| !frozen.has(*number)) {
+            if self.gateways[number].beat_at_ms <= self.now {
+                let period_ms = self.gateways[number].polls.times().beat_period_ms();
+                self.gateways[number].beat_at_ms = self.now.after(period_ms);
+                if self.gateways[number].duty.is_polling() {
+                    self.send_beat(number);
+                }
+            }
             if self.gateways[number].notice_at_ms <= self.now {
                 self.gateways[number].notice_at_ms = self.now.after(NOTICE_PERIOD_MS);
                 self.send_notice(number);
@@ -177,7 +232,9 @@
 
     fn notice(&self, number: usize) -> Notice {
         let gateway = &self.gateways[number];
-        let answered_at_ms = gateway.store_answered_at_ms;
+        let answered_at_ms = gateway
+            .store_answered_at_ms
+            .filter(|_| gateway.duty.is_polling());
         Notice {
             address: Some(address(number)),
             status: Some(StatusNotice {
@@ -190,22 +247,58 @@
         }
     }
 
+    /// Tells a peer of the state of a gateway, which arrives unless the peer stands still.
+    fn tell(&mut self, number: usize, other: usize, versions: [u64; 2], is_direct: bool) {
+        let notice = self.notice(number);
+        if self.frozen.has(other) {
+            return;
+        }
+        let now = self.now;
+        let gateway = &mut self.gateways[other];
+        let times = gateway.polls.times();
+        let was_polling = gateway.peers.is_polling(address(number), times, now);
+        gateway.peers.record_notice(address(number), &notice, now);
+        if was_polling && !gateway.peers.is_polling(address(number), times, now) {
+            gateway.check_at_ms = [now; 2];
+        }
+        self.announcements.push(Announcement {
+            from: number,
+            to: other,
+            versions,
+            is_direct,
+        });
+    }
+
+    /// Sends the short notice of a gateway that polls, or that has just stopped. In a large fleet it names the
+    /// versions at the one before, since members learn of newer ones from each other.
+    fn send_beat(&mut self, number: usize) {
+        let is_large = self.is_large();
+        let known = self.gateways[number].known;
+        let earlier = std::mem::replace(&mut self.gateways[number].told, known);
+        let versions = if is_large { earlier } else { known };
+        let members = self.gateways[number].peers.domain_addresses();
+        let members: Vec<usize> = members.map(self::number).collect();
+        for other in members {
+            self.tell(number, other, versions, true);
+        }
+        let random = self.random.random();
+        let peers = &self.gateways[number].peers;
+        for other in peers.remote_receivers(1, random, self.now) {
+            self.tell(number, self::number(other), versions, true);
+        }
+    }
+
     /// Sends a status notice: to everyone, or to the own domain in a large fleet.
     fn send_notice(&mut self, number: usize) {
-        let notice = self.notice(number);
         let known = self.gateways[number].known;
         let is_large = self.is_large();
+        let versions = if is_large { [0; 2] } else { known };
         for other in (0..self.gateways.len()).filter(|other| *other != number) {
             let is_local = self.domain(other) == self.domain(number);
             if is_large && !is_local {
                 continue;
             }
-            let now = self.now;
-            let peers = &mut self.gateways[other].peers;
-            peers.record_notice(address(number), &notice, now);
-            if !is_large {
-                self.announcements.push((number, other, known));
-            }
+            self.tell(number, other, versions, is_local);
         }
         if is_large {
             self.record_summaries(number);
@@ -264,19 +357,24 @@
     }
 
     fn deliver_announcements(&mut self) {
-        for (from, to, versions) in std::mem::take(&mut self.announcements) {
-            if !self.is_behind(to, versions) {
+        for announcement in std::mem::take(&mut self.announcements) {
+            let Announcement { from, to, .. } = announcement;
+            if !self.is_behind(to, announcement.versions) || self.frozen.has(to) {
                 continue;
             }
-            let is_local = self.domain(from) == self.domain(to);
-            let is_large = self.is_large();
+            let news = ChangeNews {
+                is_local: self.domain(from) == self.domain(to),
+                is_direct: announcement.is_direct,
+                is_large_fleet: self.is_large(),
+            };
+            let random = self.random.random();
             let gateway = &mut self.gateways[to];
             let times = gateway.polls.times();
             let store_age_ms = gateway
                 .store_answered_at_ms
                 .map(|at_ms| self.now.since(at_ms))
-                .filter(|_| gateway.peers.should_watch_store(true, times, 0, self.now));
-            let wait = pull_delay(is_local, is_large, store_age_ms, times);
+                .filter(|_| gateway.duty.is_polling());
+            let wait = news.pull_delay(store_age_ms, times, random);
             let wait_ms = DurationMs(u64::try_from(wait.as_millis()).expect("a short wait"));
             gateway.pulls.push((self.now.after(wait_ms), from));
         }
@@ -289,37 +387,51 @@
             .into_iter()
             .partition(|(at_ms, _)| at_ms.after(PULL_MS) <= now);
         self.gateways[number].pulls = later;
-        for (_, from) in due {
+        let frozen = self.frozen;
+        for (_, from) in due.into_iter().filter(|(_, from)| !frozen.has(*from)) {
             let versions = self.gateways[from].known;
+            let source = if self.domain(from) == self.domain(number) {
+                Source::Domain
+            } else {
+                Source::OtherDomain
+            };
             for (table, version) in versions.into_iter().enumerate() {
-                self.learn(number, table, version);
+                self.learn(number, table, version, source);
             }
         }
     }
 
-    /// Takes in a version of a table and announces it in the domain if it is new.
-    fn learn(&mut self, number: usize, table: usize, version: u64) -> bool {
+    /// Takes in a version of a table and announces it if it is new.
+    fn learn(&mut self, number: usize, table: usize, version: u64, source: Source) -> bool {
         let gateway = &mut self.gateways[number];
         if gateway.known[table] >= version {
             return false;
         }
         gateway.known[table] = version;
         let known = gateway.known;
-        let receivers: Vec<SocketAddr> = if self.is_large() {
-            self.gateways[number].peers.children(self.now)
+        let is_large = self.is_large();
+        let random = self.random.random();
+        let peers = &self.gateways[number].peers;
+        let mut receivers: Vec<SocketAddr> = if is_large {
+            peers.children(source != Source::Domain, self.now)
         } else {
-            self.gateways[number].peers.domain_addresses().collect()
+            peers.domain_addresses().collect()
         };
-        let receivers = receivers.into_iter().map(self::number);
-        let announcements = receivers.map(|other| (number, other, known));
-        self.announcements.extend(announcements);
+        if source == Source::Store {
+            receivers.extend(peers.remote_receivers(2, random, self.now));
+        }
+        for receiver in receivers {
+            self.tell(number, self::number(receiver), known, true);
+        }
         true
     }
 
     fn advance_call(&mut self, number: usize, table: usize) {
         let now = self.now;
         let outage = self.outage;
+        let random: u64 = self.random.random();
         let gateway = &mut self.gateways[number];
+        let times = gateway.polls.times();
         let Some(mut progress) = gateway.calls[table] else {
             return;
         };
@@ -338,6 +450,11 @@
         } else if progress.is_failed || age_ms >= progress.call.answer_within_ms {
             gateway.calls[table] = None;
             gateway.polls.record_failure(name, progress.call, now);
+            let members = gateway.peers.domain_pollers(times, now).members;
+            let is_failing = gateway.polls.is_failing() || !gateway.duty.is_polling();
+            if is_failing && gateway.duty.record_failure(members, random, now) {
+                self.send_beat(number);
+            }
         } else if affecting.is_some() || progress.is_lost {
         } else if gateway.known[table] < self.versions[table] || age_ms >= progress.call.hold_ms {
             gateway.calls[table] = None;
@@ -352,7 +469,12 @@
             gateway
                 .polls
                 .record_answer(name, progress.call, pause_ms, now);
-            self.learn(number, table, self.versions[table]);
+            gateway.polls.record_store_clock(TimeMs(now.0 - 5), now);
+            if gateway.duty.record_answer() {
+                gateway.check_at_ms = [now; 2];
+                self.send_beat(number);
+            }
+            self.learn(number, table, self.versions[table], Source::Store);
         }
     }
 
@@ -365,15 +487,15 @@
             return;
         }
         let times = gateway.polls.times();
-        let should_poll =
-            gateway
-                .peers
-                .should_watch_store(gateway.is_polling[table], times, random, now);
-        gateway.is_polling[table] = should_poll;
-        if !should_poll {
-            gateway.check_at_ms[table] = now.after(CHECK_PERIOD_MS);
+        let pollers = gateway.peers.domain_pollers(times, now);
+        if let Duty::Wait(wait_ms) = gateway.duty.next(pollers, random, now) {
+            gateway.check_at_ms[table] = now.after(wait_ms);
             return;
         }
+        gateway.polls.set_place(gateway.peers.poll_place());
+        if !gateway.duty.is_polling() {
+            gateway.polls.confirm();
+        }
         let NextCall::Now(call) = gateway.polls.next_call(TABLES[table], random, now) else {
             return;
         };
@@ -423,7 +545,7 @@
         failure,
         from_ms: fleet.now.after(STEP_MS),
         until_ms: fleet.now.after(STEP_MS + length),
-        only_third: None,
+        affected: Affected::All,
     };
     fleet.outage = Some(outage);
     fleet.call_count = 0;
@@ -507,7 +629,7 @@
             failure: Failure::Rejecting,
             from_ms: fleet.now,
             until_ms: fleet.now.after(DurationMs(60_000)),
-            only_third: Some(third),
+            affected: Affected::Third(third),
         });
         // A domain whose watchers are turned away finds others within the time of a change.
         fleet.run_until(fleet.now.after(DurationMs(limit_ms * 3)));
@@ -517,3 +639,78 @@
         assert_eq!(fleet.behind(), Vec::<usize>::new(), "seed {seed}");
     }
 }
+
+/// What happens to some gateways.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    /// The store fails for them.
+    Store(Failure),
+    /// Their processes stand still, or are gone.
+    Frozen,
+}
+
+/// Puts a third of the gateways in trouble, those that poll the store first. Returns them.
+fn disturb_third(fleet: &mut Fleet, trouble: Trouble) -> Set {
+    let count = fleet.gateways.len();
+    let mut set = Set::default();
+    let numbers = 0..count;
+    for number in numbers.filter(|number| fleet.gateways[*number].duty.is_polling()) {
+        set.insert(number);
+    }
+    while (set.len() as usize) < count / 3 {
+        set.insert(fleet.random.random_range(0..count));
+    }
+    match trouble {
+        Trouble::Frozen => fleet.frozen = set,
+        Trouble::Store(failure) => {
+            fleet.outage = Some(Outage {
+                failure,
+                from_ms: fleet.now,
+                until_ms: fleet.now.after(DurationMs(60_000)),
+                affected: Affected::Some(set),
+            });
+        }
+    }
+    set
+}
+
+/// The few gateways that poll were turned away, and all others went on with the old configuration for up to
+/// five seconds, until those counted as failed; it was the same when their processes stood still.
+#[test_case((77, 3), 3_000, Trouble::Store(Failure::Reset); "77 gateways, reset")]
+#[test_case((77, 3), 3_000, Trouble::Store(Failure::Rejecting); "77 gateways, rejected")]
+#[test_case((77, 3), 3_000, Trouble::Store(Failure::Silent); "77 gateways, cut off from the store")]
+#[test_case((77, 3), 3_000, Trouble::Frozen; "77 gateways, frozen")]
+#[test_case((300, 3), 3_000, Trouble::Store(Failure::Reset); "300 gateways, reset")]
+#[test_case((300, 3), 3_000, Trouble::Store(Failure::Silent); "300 gateways, cut off from the store")]
+#[test_case((300, 3), 3_000, Trouble::Frozen; "300 gateways, frozen")]
+#[test_case((9, 3), 2_000, Trouble::Store(Failure::Reset); "nine gateways, reset")]
+#[test_case((9, 3), 2_000, Trouble::Store(Failure::Silent); "nine gateways, cut off from the store")]
+#[test_case((9, 3), 2_000, Trouble::Frozen; "nine gateways, frozen")]
+fn a_change_is_in_force_in_half_of_its_time_while_a_third_fails(
+    size: (usize, usize),
+    limit_ms: u64,
+    trouble: Trouble,
+) {
+    let seeds = if size.0 > 100 { 8 } else { 40 };
+    let mut late = Vec::new();
+    for seed in 1..=seeds {
+        let mut fleet = settled_fleet(size.0, size.1, limit_ms, seed);
+        let disturbed = disturb_third(&mut fleet, trouble);
+        let wait = DurationMs(fleet.random.random_range(0..2_000));
+        fleet.run_until(fleet.now.after(wait));
+        fleet.change();
+        let changed_at_ms = fleet.now;
+        let is_behind = |fleet: &Fleet| {
+            let behind = fleet.behind();
+            behind.into_iter().any(|number| !disturbed.has(number))
+        };
+        while is_behind(&fleet) && fleet.now < changed_at_ms.after(DurationMs(limit_ms * 3)) {
+            fleet.step();
+        }
+        let took_ms = fleet.now.since(changed_at_ms).0;
+        if took_ms > limit_ms / 2 {
+            late.push((seed, wait, took_ms));
+        }
+    }
+    assert!(late.is_empty(), "seed, wait and time: {late:?}");
+}
