--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -300,8 +300,8 @@
 /// Logs a refusal and returns the response for it.
 fn refuse(request: &str, route: &str, refusal: &Refusal, why: &str) -> Response<ResponseBody> {
     tracing::info!(
-        request, route, verdict = %refusal.verdict, cause = %refusal.cause,
-        retry_after_ms = refusal.retry_after_ms.0, why, "request refused"
+        request, why, route, verdict = %refusal.verdict, cause = %refusal.cause,
+        retry_after_ms = refusal.retry_after_ms.0, "request refused"
     );
     response::from_refusal(refusal)
 }
