--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -97,9 +97,51 @@
 }
 
 /// A stream that fails when its peer sends too much without progress.
+///
+/// Its end is read only when what was to be written before it has been taken by the system: a peer that
+/// closes the connection while it still has to read a request may be about to reset it.
 struct MeteredStream {
     stream: TcpStream,
     bytes_without_progress: Rc<Cell<usize>>,
+    writing: Writing,
+    /// Whether the end of the stream waits to be read.
+    has_ended: bool,
+}
+
+/// How the last write to a stream went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Writing {
+    Done,
+    Blocked,
+    Failed,
+}
+
+impl MeteredStream {
+    const fn new(stream: TcpStream, bytes_without_progress: Rc<Cell<usize>>) -> Self {
+        Self {
+            stream,
+            bytes_without_progress,
+            writing: Writing::Done,
+            has_ended: false,
+        }
+    }
+
+    /// Records how a write went. One that goes on lets the end of the stream be read.
+    fn record_write(
+        &mut self,
+        written: Poll<io::Result<usize>>,
+        context: &Context<'_>,
+    ) -> Poll<io::Result<usize>> {
+        self.writing = match &written {
+            Poll::Ready(Ok(_)) => Writing::Done,
+            Poll::Ready(Err(_)) => Writing::Failed,
+            Poll::Pending => Writing::Blocked,
+        };
+        if self.has_ended && self.writing != Writing::Blocked {
+            context.waker().wake_by_ref();
+        }
+        written
+    }
 }
 
 impl AsyncRead for MeteredStream {
@@ -116,8 +158,17 @@
         }
         let length = buffer.filled().len();
         let read = Pin::new(&mut this.stream).poll_read(context, buffer);
-        count.set(count.get() + buffer.filled().len() - length);
-        read
+        let read_bytes = buffer.filled().len() - length;
+        count.set(count.get() + read_bytes);
+        let is_end = matches!(read, Poll::Ready(Ok(()))) && read_bytes == 0;
+        match this.writing {
+            Writing::Blocked if is_end => {
+                this.has_ended = true;
+                Poll::Pending
+            }
+            Writing::Failed if is_end => Poll::Ready(Err(ErrorKind::ConnectionReset.into())),
+            _ => read,
+        }
     }
 }
 
@@ -127,7 +178,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write(context, bytes);
+        this.record_write(written, context)
     }
 
     fn poll_write_vectored(
@@ -135,7 +188,9 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write_vectored(context, slices);
+        this.record_write(written, context)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -513,10 +568,10 @@
     let bytes_without_progress = Rc::new(Cell::new(0));
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(MeteredStream {
+        .handshake(TokioIo::new(MeteredStream::new(
             stream,
-            bytes_without_progress: Rc::clone(&bytes_without_progress),
-        }))
+            Rc::clone(&bytes_without_progress),
+        )))
         .await;
     let (sender, driver) = handshake.map_err(|error| unreachable(error.to_string()))?;
     let (driver, driver_handle) = abortable(async move {
