--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -304,7 +304,7 @@
         let mut request = request;
         while let Some(mut connection) = self.checkout(address) {
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok(UnreadResponse::new(response, connection)),
+                Ok(response) => return UnreadResponse::open(response, connection),
                 Err(mut error) => match error.take_message() {
                     // The connection was closed before any byte was written.
                     Some(unsent) => request = unsent,
@@ -314,7 +314,7 @@
         }
         let mut connection = connect(address, Closing::Graceful).await?;
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(UnreadResponse::new(response, connection)),
+            Ok(response) => UnreadResponse::open(response, connection),
             Err(mut error) => Err(match error.take_message() {
                 Some(_) => ExchangeFailure {
                     reason: "the server closed a new connection at once".to_owned(),
@@ -393,16 +393,28 @@
 }
 
 impl UnreadResponse {
-    fn new(response: Response<Incoming>, connection: Connection) -> Self {
+    /// Takes a response whose head has arrived.
+    ///
+    /// # Errors
+    ///
+    /// When its status is none of an answer: no request asks for another protocol.
+    fn open(response: Response<Incoming>, connection: Connection) -> Result<Self, ExchangeFailure> {
         let (head, body) = response.into_parts();
+        if head.status.is_informational() {
+            return Err(ExchangeFailure {
+                reason: format!("the status {} is none of an answer", head.status),
+                verdict: Verdict::MayHaveRun,
+                is_unreachable: false,
+            });
+        }
         connection.record_progress();
         let keep_ms = keep_ms(&head);
-        Self {
+        Ok(Self {
             head,
             body,
             connection,
             keep_ms,
-        }
+        })
     }
 
     /// The address of the server.
