--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod brittle;
 pub mod call;
 pub mod clock;
+pub mod common_key;
 pub mod digest;
 pub mod event_stream;
 pub mod explain;
@@ -89,6 +90,8 @@
     pub seed_addresses: Vec<SocketAddr>,
     /// The secret that authenticates peers to each other.
     pub shared_key: String,
+    /// Whether gateways that don't share that key take one from the store.
+    pub has_common_key: bool,
     /// The limits on retries.
     pub retry_budget: RetryBudgetLimits,
     /// How far customers' use may exceed their caps; `None` enforces no caps.
@@ -231,6 +234,7 @@
         peers::spawn(&shared)?;
         beats::spawn(&shared);
         watch::spawn(&shared, &store);
+        common_key::spawn(&shared, &store);
         list_check::spawn(&shared, &store, awaited_checks);
         weights::spawn(&shared, &store);
         version_records::spawn(&shared, &store);
--- a/src/gateway/peer_versions.rs
+++ b/src/gateway/peer_versions.rs
@@ -139,16 +139,19 @@
         newest_version: NEWEST_VERSION,
         is_question,
     };
-    match seal_sections(shared.peers.key(), &announcement.sections()) {
-        Ok(sealed) => shared.peers.send_sealed(sealed, vec![receiver]),
-        Err(error) => tracing::error!(%error, "failed to encode an announcement"),
+    for (key, receivers) in shared.peers.keys().divide(vec![receiver]) {
+        match seal_sections(&key, &announcement.sections()) {
+            Ok(sealed) => shared.peers.send_sealed(sealed, receivers),
+            Err(error) => tracing::error!(%error, "failed to encode an announcement"),
+        }
     }
 }
 
 /// Handles a datagram of version 2.
 pub(super) fn handle_sections(shared: &Shared, datagram: &Bytes) {
-    let sections = open_sections(shared.peers.key(), datagram);
-    let announcement = sections.and_then(|sections| Announcement::read(&sections));
+    let keys = shared.peers.keys();
+    let sections = keys.open(|key| open_sections(key, datagram));
+    let announcement = sections.and_then(|(sections, _)| Announcement::read(&sections));
     let announcement = match announcement {
         Ok(announcement) => announcement,
         Err(error) => {
@@ -173,6 +176,9 @@
 /// Records a datagram that was rejected. One of an unknown version comes from a newer build.
 pub(super) fn record_rejected(shared: &Shared, sender: SocketAddr, error: MessageError) {
     let MessageError::Version { version } = error else {
+        if error == MessageError::Key {
+            shared.peers.record_rejected();
+        }
         tracing::debug!(%error, "rejected a datagram");
         return;
     };
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -26,7 +26,7 @@
     },
     crate::{
         peer::{
-            Envelope, PassLink, PeerKey, PeerLink, PeerRequest, PeerResponse, PeerServer,
+            Envelope, KeyRing, PassLink, PeerKey, PeerLink, PeerRequest, PeerResponse, PeerServer,
             SECTIONS_VERSION, SealedRequest,
         },
         timeline::HybridTime,
@@ -120,7 +120,9 @@
 pub struct PeerGroup {
     socket: Rc<UdpSocket>,
     outbox: mpsc::Sender<Datagram>,
-    key: PeerKey,
+    keys: KeyRing,
+    /// Messages that no key opened since this was last read.
+    rejected: Cell<u64>,
     entry_id: EntryId,
     name: String,
     address: SocketAddr,
@@ -158,7 +160,8 @@
         Ok(Self {
             socket,
             outbox,
-            key,
+            keys: key.into(),
+            rejected: Cell::new(0),
             entry_id: EntryId::from_name(&settings.name),
             name: settings.name.clone(),
             address: settings.peers_address,
@@ -312,7 +315,7 @@
             return false;
         }
         let address = addresses.swap_remove(rand::random_range(0..addresses.len()));
-        let link = PeerLink::new(address, self.key.clone());
+        let link = PeerLink::new(address, (*self.keys.of(address)).clone());
         let request = self.envelope(PeerRequest::PullStreams);
         let answer = timeout(PULL_STREAMS_TIMEOUT, link.call(now(), &request)).await;
         let Ok(Ok(Envelope {
@@ -396,7 +399,7 @@
             self.peer_links
                 .borrow_mut()
                 .get_or_insert_with(address, || {
-                    Rc::new(PeerLink::new(address, self.key.clone()))
+                    Rc::new(PeerLink::new(address, (*self.keys.of(address)).clone()))
                 }),
         );
         let times = shared.state.borrow().store_polls.times();
@@ -584,7 +587,7 @@
     }
 
     /// Announces this gateway to all known peers and asks them for the others.
-    fn join(&self, shared: &Shared) {
+    pub(super) fn join(&self, shared: &Shared) {
         let state = shared.state.borrow();
         let known: Vec<SocketAddr> = state.peers.addresses().collect();
         let notice = self.join_notice(shared, &state);
@@ -655,14 +658,12 @@
 
     fn send_message(&self, message: PeerRequest, receivers: Vec<SocketAddr>) {
         let request = self.envelope(message);
-        let sealed: Bytes = match SealedRequest::seal(&self.key, &request) {
-            Ok(sealed) => sealed.into(),
-            Err(error) => {
-                tracing::error!(%error, "failed to encode a notice");
-                return;
+        for (key, receivers) in self.keys.divide(receivers) {
+            match SealedRequest::seal(&key, &request) {
+                Ok(sealed) => self.send_sealed(sealed.into(), receivers),
+                Err(error) => tracing::error!(%error, "failed to encode a notice"),
             }
-        };
-        self.send_sealed(sealed, receivers);
+        }
     }
 
     /// Queues a sealed datagram.
@@ -685,9 +686,20 @@
         self.last_versions.replace(versions)
     }
 
-    /// The key that seals messages.
-    pub(super) const fn key(&self) -> &PeerKey {
-        &self.key
+    /// The keys that seal messages.
+    pub(super) const fn keys(&self) -> &KeyRing {
+        &self.keys
+    }
+
+    /// Records a message that no key opened.
+    pub(super) fn record_rejected(&self) {
+        self.rejected.set(self.rejected.get() + 1);
+        metrics::counter!("cactusspur_unreadable_datagrams_total").increment(1);
+    }
+
+    /// Takes the number of messages that no key opened.
+    pub(super) fn take_rejected(&self) -> u64 {
+        self.rejected.take()
     }
 
     /// Which versions of messages the peers read.
@@ -698,7 +710,7 @@
     /// A link for requests that are passed on to a peer.
     #[must_use]
     pub fn pass_link(&self, address: SocketAddr) -> PassLink {
-        PassLink::new(address, self.key.clone())
+        PassLink::new(address, (*self.keys.of(address)).clone())
     }
 
     /// A message with the fields that all messages have.
@@ -723,7 +735,7 @@
     let server_shared = Rc::clone(shared);
     let server = PeerServer::bind_taking(
         shared.settings.peers_address,
-        shared.peers.key.clone(),
+        shared.peers.keys.clone(),
         move |request| answer_request(&server_shared, &request),
         Some(passing_on::taker(shared)),
     )
@@ -793,8 +805,14 @@
                     peer_versions::handle_sections(&shared, &datagram);
                     continue;
                 }
-                match SealedRequest::from(datagram).open(&shared.peers.key) {
-                    Ok(envelope) => handle_datagram(&shared, envelope),
+                let sealed = SealedRequest::from(datagram);
+                match shared.peers.keys.open(|key| sealed.open(key)) {
+                    Ok((envelope, key)) => {
+                        if shared.peers.keys.record_used(sender, &key) {
+                            shared.peers.peer_links.borrow_mut().remove(&sender);
+                        }
+                        handle_datagram(&shared, envelope);
+                    }
                     Err(error) => peer_versions::record_rejected(&shared, sender, error),
                 }
             }
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -1,7 +1,7 @@
 //! The status that a gateway reports to operators.
 
 use {
-    super::{Shared, brittle::BrittleService, clock::now, state::GatewayState},
+    super::{Shared, brittle::BrittleService, clock::now, common_key, state::GatewayState},
     crate::peer::NEWEST_VERSION,
     cactusspur_core::{
         CustomerId, DurationMs, TimeMs, WeightsVersion,
@@ -37,6 +37,9 @@
     pub store_era: u64,
     /// The names of the other running gateways.
     pub peers: Vec<String>,
+    /// The other known gateways, if messages of none of them are read; 0 otherwise.
+    #[serde(default)]
+    pub unread_peers: usize,
     /// The newest version of messages that this gateway reads.
     #[serde(default)]
     pub messages_version: u8,
@@ -161,6 +164,7 @@
             is_rolling_out: shared.is_rolling_out.get(),
             configuration: state.routing.as_ref().map(|routing| routing.version),
             store_age_ms: state.store_age_ms(now),
+            unread_peers: common_key::unread_peers(shared),
             polls_store: state.watch_duty.is_polling(),
             tables: state
                 .replica
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -4,6 +4,7 @@
     super::{
         Shared, beats,
         clock::now,
+        common_key::KEY_ROW,
         peer_table::Peers,
         quarantine,
         replica::{StoreVersion, TableChanges, TableCopy},
@@ -28,7 +29,7 @@
 /// How often a gateway that waits for a peer's copy of a table checks whether to go on waiting.
 const UNKNOWN_CHECK_PERIOD_MS: DurationMs = DurationMs(100);
 /// The table in which gateways register their addresses.
-const GATEWAYS_TABLE: &str = "gateways";
+pub const GATEWAYS_TABLE: &str = "gateways";
 /// The waits before a gateway registers its address and reads the others' addresses. It does so
 /// twice: when all gateways start at once, the first read may miss some of them.
 const REGISTER_DELAYS: [Duration; 2] = [JOIN_WAIT, Duration::from_secs(3)];
@@ -130,7 +131,7 @@
     }
     let own_address = shared.settings.peers_address;
     let mut known = None;
-    for row in &listed.rows {
+    for row in listed.rows.iter().filter(|row| row.key != KEY_ROW) {
         let value = row.value.as_deref().unwrap_or_default();
         let Some(address) = std::str::from_utf8(value).ok().and_then(|v| v.parse().ok()) else {
             tracing::warn!(key = row.key, "invalid address in a gateway's row");
--- a/src/operator/gateway.rs
+++ b/src/operator/gateway.rs
@@ -43,6 +43,10 @@
         || "has not answered this gateway".to_owned(),
         |age| format!("answered {} ms ago", age.0),
     );
+    let peers = match status.unread_peers {
+        0 => status.peers.join(", "),
+        known => format!("none of {known} known can be read; compare the shared keys"),
+    };
     let polls = if status.polls_store {
         ", which this gateway polls"
     } else {
@@ -57,7 +61,7 @@
         format!("{} in {}: {state}", status.name, status.domain),
         format!("  configuration  {}", format_optional(status.configuration)),
         format!("  store          {store}{polls}"),
-        format!("  peers          {}", status.peers.join(", ")),
+        format!("  peers          {peers}"),
         format!("  messages       version {}", status.messages_version),
         format!("  cached parts   {}", status.cached_parts),
     ];
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -7,6 +7,7 @@
 //! accepted.
 
 mod error;
+mod keys;
 mod link;
 mod message;
 mod passing;
@@ -15,6 +16,7 @@
 
 pub use {
     error::{MessageError, PeerError},
+    keys::KeyRing,
     link::PeerLink,
     message::{
         Envelope, MAX_REQUEST_BYTES, MAX_RESPONSE_BYTES, MIN_KEY_BYTES, PeerKey, PeerRequest,
--- a/src/peer/passing.rs
+++ b/src/peer/passing.rs
@@ -168,6 +168,14 @@
 
     /// Reads the head.
     pub(super) async fn read_head<M>(&mut self, key: &PeerKey) -> Result<Envelope<M>, MessageError>
+    where
+        M: Message,
+    {
+        self.read_sealed_head().await?.open(key)
+    }
+
+    /// Reads the head and doesn't open it.
+    pub(super) async fn read_sealed_head<M>(&mut self) -> Result<Sealed<M>, MessageError>
     where
         M: Message,
     {
@@ -178,8 +186,7 @@
             return Err(MessageError::Size);
         }
         self.fill(length).await?;
-        let sealed = self.received.split_to(length).freeze();
-        Sealed::from(sealed).open(key)
+        Ok(Sealed::from(self.received.split_to(length).freeze()))
     }
 
     /// Reads the rest of the body, which must have the given length.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Envelope, MessageError, NotTaken, PassedAnswer, PassedRequest, PeerError, PeerKey,
+        Envelope, KeyRing, MessageError, NotTaken, PassedAnswer, PassedRequest, PeerError, PeerKey,
         PeerRequest, PeerResponse, SealedRequest, SealedResponse,
         passing::{FramedBody, INCOMPLETE, PASSED_PATH, frame},
     },
@@ -128,7 +128,7 @@
 }
 
 struct Shared<F> {
-    key: PeerKey,
+    keys: KeyRing,
     answer: F,
     taker: Option<Taker>,
     connections: Cell<usize>,
@@ -146,17 +146,17 @@
     where
         F: Fn(Envelope<PeerRequest>) -> Envelope<PeerResponse> + 'static,
     {
-        Self::bind_taking(address, key, answer, None)
+        Self::bind_taking(address, key.into(), answer, None)
     }
 
-    /// Does the same, and serves the requests of callers that peers pass on.
+    /// Does the same with any of some keys, and serves the requests of callers that peers pass on.
     ///
     /// # Errors
     ///
     /// Fails when the address can't be bound.
     pub fn bind_taking<F>(
         address: SocketAddr,
-        key: PeerKey,
+        keys: KeyRing,
         answer: F,
         taker: Option<Taker>,
     ) -> Result<Self, Report<PeerError>>
@@ -173,7 +173,7 @@
         let address = listener.local_addr().change_context(PeerError::Bind)?;
         let (stop, stopped) = watch::channel(());
         let shared = Rc::new(Shared {
-            key,
+            keys,
             answer,
             taker,
             connections: Cell::new(0),
@@ -307,8 +307,8 @@
         }
         return;
     };
-    let read = read_passed(request.into_body(), &shared.key, &taker.taken, reads).await;
-    let read = match read {
+    let read = read_passed(request.into_body(), &shared.keys, &taker.taken, reads).await;
+    let (read, key) = match read {
         Ok(read) => read,
         Err(error) => {
             record_rejected(error);
@@ -338,7 +338,7 @@
             served = (taker.serve)(envelope.message.clone(), body) => (envelope, served, Some(share)),
         },
     };
-    if let Err(error) = answer_taken(&mut stream, &shared.key, &envelope, served).await {
+    if let Err(error) = answer_taken(&mut stream, &key, &envelope, served).await {
         tracing::debug!(%error, "could not answer a request that a peer passed on");
     }
 }
@@ -349,25 +349,26 @@
 
 async fn read_passed(
     body: RecvStream,
-    key: &PeerKey,
+    keys: &KeyRing,
     taken: &Rc<Taken>,
     reads: &Semaphore,
-) -> Result<ReadPassed, MessageError> {
+) -> Result<(ReadPassed, Rc<PeerKey>), MessageError> {
     let reading = reads.acquire().await;
     let mut body = FramedBody::new(body);
-    let head = timeout(REQUEST_TIMEOUT, body.read_head(key)).await;
-    let envelope: Envelope<PassedRequest> = head.map_err(|()| MessageError::Malformed)??;
+    let head = timeout(REQUEST_TIMEOUT, body.read_sealed_head()).await;
+    let head = head.map_err(|()| MessageError::Malformed)??;
+    let (envelope, key): (Envelope<PassedRequest>, _) = keys.open(|key| head.open(key))?;
     drop(reading);
     let length = envelope.message.body_bytes;
     let Some(share) = TakenShare::claim(taken, length) else {
-        return Ok(Err((envelope, NotTaken::Full)));
+        return Ok((Err((envelope, NotTaken::Full)), key));
     };
     let rest = timeout(REQUEST_TIMEOUT, body.read_rest(length)).await;
     let rest = rest.map_err(|()| MessageError::Malformed)??;
     if *blake3::hash(&rest).as_bytes() != envelope.message.body_hash {
         return Err(MessageError::Key);
     }
-    Ok(Ok((envelope, rest, share)))
+    Ok((Ok((envelope, rest, share)), key))
 }
 
 /// Sends the answer to a request that a peer passed on. Drops the body when the peer cancels the request.
@@ -437,9 +438,10 @@
 where
     F: Fn(Envelope<PeerRequest>) -> Envelope<PeerResponse>,
 {
-    let request = SealedRequest::from(bytes).open(&shared.key)?;
+    let sealed = SealedRequest::from(bytes);
+    let (request, key) = shared.keys.open(|key| sealed.open(key))?;
     let answer = (shared.answer)(request);
-    SealedResponse::seal(&shared.key, &answer)
+    SealedResponse::seal(&key, &answer)
 }
 
 fn send(
--- a/tests/brittle_servers.rs
+++ b/tests/brittle_servers.rs
@@ -132,6 +132,7 @@
         metrics_address: None,
         seed_addresses: (0..setup.gateways.min(3)).map(address).collect(),
         shared_key: "a key that is long enough for the tests".to_owned(),
+        has_common_key: false,
         retry_budget: RetryBudgetLimits {
             ratio_milli: 200,
             allowance: 50,
--- a/tests/gateway_state.rs
+++ b/tests/gateway_state.rs
@@ -49,6 +49,7 @@
         metrics_address: None,
         seed_addresses: Vec::new(),
         shared_key: "a key that is long enough for the tests".to_owned(),
+        has_common_key: false,
         retry_budget: RetryBudgetLimits {
             ratio_milli: 200,
             allowance: 50,
--- a/tests/peer_passing.rs
+++ b/tests/peer_passing.rs
@@ -87,7 +87,7 @@
         sent_at: request.sent_at,
         message: PeerResponse::UpToDate,
     };
-    PeerServer::bind_taking(ANY_PORT, key(KEY), answer, Some(serving)).expect("bound")
+    PeerServer::bind_taking(ANY_PORT, key(KEY).into(), answer, Some(serving)).expect("bound")
 }
 
 fn echo(taken: &Rc<Taken>) -> PeerServer {
