--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -42,7 +42,7 @@
 /// How long a check waits for an answer to its connection attempt.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long sent data may remain unacknowledged before a connection counts as broken.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The idle time before the first TCP keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// The longest time that a pooled connection may be idle. A server may close idle connections sooner
@@ -571,7 +571,7 @@
     let stream = connected
         .map_err(|_| unreachable("connection timed out".to_owned()))?
         .map_err(|error| unreachable(format!("failed to connect: {error}")))?;
-    set_socket_options(&stream);
+    set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT);
     if closing == Closing::Reset {
         SockRef::from(&stream)
             .set_linger(Some(Duration::ZERO))
@@ -628,8 +628,10 @@
     matches!(attempt, Ok(Ok(_)))
 }
 
-/// Sets the socket options by which a connection detects that its peer is gone without a reset.
-pub fn set_socket_options(stream: &TcpStream) {
+/// Sets the socket options by which a connection detects that its peer is gone without a reset: within
+/// `unacknowledged` while data is under way. A peer that acknowledges everything and reads nothing for as long
+/// loses the connection, too.
+pub fn set_socket_options(stream: &TcpStream, unacknowledged: Duration) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
@@ -637,7 +639,7 @@
         .with_retries(2);
     let set = stream
         .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)))
+        .and_then(|()| socket.set_tcp_user_timeout(Some(unacknowledged)))
         .and_then(|()| socket.set_tcp_keepalive(&keepalive));
     if let Err(error) = set {
         // The connection works without the option; the timeout of each exchange detects a silent
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -123,9 +123,10 @@
 /// Serves the requests of one caller's connection, under the limits that are configured when it is
 /// accepted.
 async fn serve(shared: Rc<Shared>, stream: TcpStream, stopped: watch::Receiver<bool>) {
-    link::set_socket_options(&stream);
     let limits = shared.state.borrow().routing.as_ref().map(|r| r.limits);
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| Duration::from_millis(l.idle_ms.0));
+    // A caller may read nothing for as long as it may be idle.
+    link::set_socket_options(&stream, idle_timeout);
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |l| l.max_head_bytes);
     let (has_request, first_request) = watch::channel(false);
     let has_chunks = Cell::new(true);
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -5,7 +5,7 @@
         Envelope, MAX_RESPONSE_BYTES, MessageError, PeerError, PeerKey, PeerRequest, PeerResponse,
         SealedRequest, SealedResponse, server::read_all,
     },
-    crate::gateway::link::set_socket_options,
+    crate::gateway::link::{UNACKNOWLEDGED_TIMEOUT, set_socket_options},
     bytes::Bytes,
     cactusspur_core::{DurationMs, TimeMs},
     error_stack::{Report, ResultExt},
@@ -165,7 +165,7 @@
         let stream = TcpStream::connect(address)
             .await
             .change_context(PeerError::Connect)?;
-        set_socket_options(&stream);
+        set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT);
         let mut builder = h2::client::Builder::new();
         builder.initial_connection_window_size(window_bytes);
         builder
