--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -28,11 +28,10 @@
     std::rc::Rc,
 };
 
-/// How long a server stays in use after its entry vanished in an outage of the store. A running
-/// server registers again within two seconds of the store's return; one that has failed must be out
-/// of use soon after that.
-const VANISHED_GRACE_MS: DurationMs = DurationMs(1_700);
-/// How long after a failure of the store vanished entries get this grace period.
+/// How long after the return of the store a server stays in use whose entry vanished in the outage. A running
+/// server registers again within this time; one that has failed or left must be out of use soon after that.
+const VANISHED_GRACE_MS: DurationMs = DurationMs(2_000);
+/// How long after a failed call the store counts as failing for a gateway that makes no other one.
 const RECENT_OUTAGE_MS: DurationMs = DurationMs(3_000);
 /// The time that a store takes to remove the row of a server beyond the server's time limit.
 const ROW_REMOVAL_MARGIN_MS: DurationMs = DurationMs(900);
@@ -106,8 +105,12 @@
     pub peer_rollout_at_ms: Option<TimeMs>,
     /// How long after new weights are announced a request may still start on older ones.
     pub old_weights_grace_ms: DurationMs,
+    /// When the last call to the store failed; `None` if it was answered.
     store_failed_at_ms: Option<TimeMs>,
+    /// When the store first answered after a failure.
+    store_returned_at_ms: Option<TimeMs>,
     store_answered_at_ms: Option<TimeMs>,
+    /// Servers whose entries vanished in an outage, and when they are removed.
     vanished_backends: VecMap<WorkerId, TimeMs>,
     removed_backends: RemovedBackends,
     /// The store's era, and when it was first seen.
@@ -163,6 +166,7 @@
             peer_rollout_at_ms: None,
             old_weights_grace_ms: settings.old_weights_grace_ms,
             store_failed_at_ms: None,
+            store_returned_at_ms: None,
             store_answered_at_ms: None,
             vanished_backends: VecMap::default(),
             removed_backends: RemovedBackends::new(
@@ -200,6 +204,9 @@
 
     /// Records that the store answered.
     pub fn record_store_success(&mut self, now: TimeMs) {
+        if self.store_failed_at_ms.take().is_some() {
+            self.store_returned_at_ms = Some(now);
+        }
         self.store_answered_at_ms = Some(now);
         self.peers.record_store_answer(now);
     }
@@ -721,18 +728,32 @@
         };
         let worker = WorkerId::from_name(&instance);
         self.removed_backends.clear_doubt(worker);
-        let outages = [self.store_failed_at_ms, self.restored_at_ms];
-        let mut outages = outages.into_iter().flatten();
-        let after_outage = outages.any(|at_ms| now.since(at_ms) < RECENT_OUTAGE_MS);
-        tracing::info!(%worker, backend = instance, after_outage, "backend server no longer listed");
-        if after_outage {
-            self.vanished_backends.insert(worker, now);
+        let returned_at_ms = self.store_return_ms(now).max(self.restored_at_ms);
+        let removed_at_ms = returned_at_ms.map(|at_ms| at_ms.after(VANISHED_GRACE_MS));
+        let grace_until_ms = removed_at_ms.filter(|at_ms| *at_ms > now);
+        tracing::info!(
+            %worker, backend = instance, after_outage = grace_until_ms.is_some(),
+            "backend server no longer listed"
+        );
+        if let Some(grace_until_ms) = grace_until_ms {
+            self.vanished_backends.insert(worker, grace_until_ms);
         } else {
             self.remove_backend(worker, now);
         }
         true
     }
 
+    /// When the store returned from its last outage, as far as known: now at the earliest if it fails still.
+    fn store_return_ms(&self, now: TimeMs) -> Option<TimeMs> {
+        let is_recent = |at_ms: &TimeMs| now.since(*at_ms) < RECENT_OUTAGE_MS;
+        let Some(failed_at_ms) = self.store_failed_at_ms.filter(is_recent) else {
+            return self.store_returned_at_ms;
+        };
+        let answer_age_ms = self.peers.store_answer_age_ms(now);
+        let answers_others = answer_age_ms.is_some_and(|age_ms| age_ms < now.since(failed_at_ms));
+        Some(if answers_others { failed_at_ms } else { now })
+    }
+
     /// Whether there are servers whose entries vanished in an outage and have not come back.
     #[must_use]
     pub fn has_vanished_backends(&self) -> bool {
@@ -745,7 +766,7 @@
         let overdue: Vec<WorkerId> = self
             .vanished_backends
             .iter()
-            .filter(|row| now.since(*row.1) >= VANISHED_GRACE_MS)
+            .filter(|row| now >= *row.1)
             .map(|row| *row.0)
             .collect();
         for worker in &overdue {
