--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,7 +4,6 @@
 //! The decisions are made in [`cactusspur_core::gateway`]. A platform implements
 //! [`protocol::PlatformProtocol`] and [`store::MetadataStore`], which translate its formats.
 
-pub mod beats;
 pub mod brittle;
 pub mod call;
 pub mod clock;
@@ -13,6 +12,7 @@
 pub mod event_stream;
 pub mod explain;
 pub mod forward;
+pub mod heartbeats;
 pub mod kept_stores;
 pub mod lease;
 pub mod link;
@@ -232,7 +232,7 @@
         });
         let store = Rc::new(store);
         peers::spawn(&shared)?;
-        beats::spawn(&shared);
+        heartbeats::spawn(&shared);
         watch::spawn(&shared, &store);
         common_key::spawn(&shared, &store);
         list_check::spawn(&shared, &store, awaited_checks);
--- a/src/gateway/beats.rs
+++ b/src/gateway/heartbeats.rs
@@ -25,7 +25,12 @@
 }
 
 async fn send_periodically(shared: Rc<Shared>) {
-    let period_ms = shared.state.borrow().store_polls.times().beat_period_ms();
+    let period_ms = shared
+        .state
+        .borrow()
+        .store_polls
+        .times()
+        .heartbeat_period_ms();
     loop {
         sleep(Duration::from_millis(period_ms.0)).await;
         let is_polling = shared.state.borrow().watch_duty.is_polling();
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -233,7 +233,7 @@
         let is_answered = self
             .store_answered_at_ms
             .is_some_and(|at_ms| now.since(at_ms) < times.watcher_answer_ms());
-        is_answered && !self.is_stopping && self.was_heard_within(times.beat_timeout_ms(), now)
+        is_answered && !self.is_stopping && self.was_heard_within(times.heartbeat_timeout_ms(), now)
     }
 
     fn is_trusted(&self, now: TimeMs) -> bool {
@@ -818,7 +818,7 @@
             running: pollers.clone().count(),
             ahead: pollers.filter(is_ahead).count(),
             members: members.count() + 1,
-            lapse_ms: heard_at_ms.after(times.beat_timeout_ms()).since(now),
+            lapse_ms: heard_at_ms.after(times.heartbeat_timeout_ms()).since(now),
         }
     }
 
--- a/src/gateway/store_polls.rs
+++ b/src/gateway/store_polls.rs
@@ -96,13 +96,13 @@
 
     /// The time between two notices of a gateway that polls the store to its failure domain.
     #[must_use]
-    pub const fn beat_period_ms(self) -> DurationMs {
+    pub const fn heartbeat_period_ms(self) -> DurationMs {
         DurationMs(self.change_limit_ms.0 / 15)
     }
 
     /// The silence after which a gateway no longer counts as one that polls the store.
     #[must_use]
-    pub const fn beat_timeout_ms(self) -> DurationMs {
+    pub const fn heartbeat_timeout_ms(self) -> DurationMs {
         DurationMs(self.change_limit_ms.0 / 6)
     }
 
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
-        Shared, beats,
+        Shared,
         clock::now,
         common_key::KEY_ROW,
+        heartbeats,
         peer_table::Peers,
         quarantine,
         replica::{StoreVersion, TableChanges, TableCopy},
@@ -242,7 +243,7 @@
         );
         metrics::counter!("cactusspur_store_poller_changes_total").increment(1);
         shared.pollers_changed.notify_waiters();
-        beats::send(shared);
+        heartbeats::send(shared);
     }
     if failures > 0 {
         shared.store_answers.notify_waiters();
@@ -280,7 +281,7 @@
     drop(state);
     if stops {
         tracing::info!(table, "no longer polls the store, which does not answer");
-        beats::send(shared);
+        heartbeats::send(shared);
     }
     let waited_ms = now.since(called_at_ms).0;
     if failures == 1 {
@@ -474,7 +475,7 @@
         now(),
     );
     tracing::debug!(table, ?source, rows = changes.rows.len(), "changes applied");
-    beats::announce_change(shared, source);
+    heartbeats::announce_change(shared, source);
     if has_effect {
         shared.weights_changed.notify_one();
         shared.weights_ages_changed.notify_one();
--- a/src/gateway/watch_duty.rs
+++ b/src/gateway/watch_duty.rs
@@ -86,7 +86,7 @@
             // A check that comes late shows that this process stood still: notices of others may wait unread.
             Role::Idle if self.is_check_overdue(now) => {
                 self.check_at_ms = None;
-                Duty::Wait(self.times.beat_period_ms())
+                Duty::Wait(self.times.heartbeat_period_ms())
             }
             Role::Idle | Role::Polling => {
                 self.vacant_since_ms = Some(now);
@@ -103,7 +103,7 @@
     }
 
     fn is_check_overdue(&self, now: TimeMs) -> bool {
-        let limit_ms = self.times.beat_period_ms();
+        let limit_ms = self.times.heartbeat_period_ms();
         self.check_at_ms
             .is_some_and(|check_at_ms| now >= check_at_ms.after(limit_ms))
     }
--- a/tests/store_return.rs
+++ b/tests/store_return.rs
@@ -99,7 +99,7 @@
     polls: StorePolls,
     store_answered_at_ms: Option<TimeMs>,
     duty: WatchDuty,
-    beat_at_ms: TimeMs,
+    heartbeat_at_ms: TimeMs,
     check_at_ms: [TimeMs; 2],
     calls: [Option<CallInProgress>; 2],
     known: [u64; 2],
@@ -161,7 +161,7 @@
             polls: StorePolls::new(times, &TABLES),
             store_answered_at_ms: None,
             duty: WatchDuty::new(times),
-            beat_at_ms: START.after(DurationMs(random.random_range(0..limit_ms / 15))),
+            heartbeat_at_ms: START.after(DurationMs(random.random_range(0..limit_ms / 15))),
             check_at_ms: [START; 2],
             calls: [None; 2],
             known: [1; 2],
@@ -203,11 +203,11 @@
         self.deliver_announcements();
         let frozen = self.frozen;
         for number in (0..self.gateways.len()).filter(|number| !frozen.has(*number)) {
-            if self.gateways[number].beat_at_ms <= self.now {
-                let period_ms = self.gateways[number].polls.times().beat_period_ms();
-                self.gateways[number].beat_at_ms = self.now.after(period_ms);
+            if self.gateways[number].heartbeat_at_ms <= self.now {
+                let period_ms = self.gateways[number].polls.times().heartbeat_period_ms();
+                self.gateways[number].heartbeat_at_ms = self.now.after(period_ms);
                 if self.gateways[number].duty.is_polling() {
-                    self.send_beat(number);
+                    self.send_heartbeat(number);
                 }
             }
             if self.gateways[number].notice_at_ms <= self.now {
@@ -271,7 +271,7 @@
 
     /// Sends the short notice of a gateway that polls, or that has just stopped. In a large fleet it names the
     /// versions at the one before, since members learn of newer ones from each other.
-    fn send_beat(&mut self, number: usize) {
+    fn send_heartbeat(&mut self, number: usize) {
         let is_large = self.is_large();
         let known = self.gateways[number].known;
         let earlier = std::mem::replace(&mut self.gateways[number].told, known);
@@ -453,7 +453,7 @@
             let members = gateway.peers.domain_pollers(times, now).members;
             let is_failing = gateway.polls.is_failing() || !gateway.duty.is_polling();
             if is_failing && gateway.duty.record_failure(members, random, now) {
-                self.send_beat(number);
+                self.send_heartbeat(number);
             }
         } else if affecting.is_some() || progress.is_lost {
         } else if gateway.known[table] < self.versions[table] || age_ms >= progress.call.hold_ms {
@@ -472,7 +472,7 @@
             gateway.polls.record_store_clock(TimeMs(now.0 - 5), now);
             if gateway.duty.record_answer() {
                 gateway.check_at_ms = [now; 2];
-                self.send_beat(number);
+                self.send_heartbeat(number);
             }
             self.learn(number, table, self.versions[table], Source::Store);
         }
