--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -342,13 +342,27 @@
             let response = self.send(address, request).await?;
             response.read(self, max_bytes).await
         };
-        timeout(timeout_after, exchange).await.unwrap_or_else(|_| {
-            Err(ExchangeFailure {
-                reason: format!("no response within {} ms", timeout_after.as_millis()),
-                verdict: Verdict::MayHaveRun,
-                is_unreachable: false,
-            })
-        })
+        let exchanged = timeout(timeout_after, exchange).await;
+        exchanged.unwrap_or_else(|_| Err(no_response(timeout_after)))
+    }
+
+    /// The same with a time limit for the head of the response and one for its body, which may be large.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::exchange`].
+    pub async fn exchange_in_parts(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+        head_within: Duration,
+        body_within: Duration,
+    ) -> Result<(http::response::Parts, Bytes), ExchangeFailure> {
+        let response = timeout(head_within, self.send(address, request)).await;
+        let response = response.unwrap_or_else(|_| Err(no_response(head_within)))?;
+        let read = timeout(body_within, response.read(self, max_bytes)).await;
+        read.unwrap_or_else(|_| Err(no_response(body_within)))
     }
 
     /// Returns a connection to the pool after a complete response.
@@ -648,6 +662,14 @@
     }
 }
 
+fn no_response(limit: Duration) -> ExchangeFailure {
+    ExchangeFailure {
+        reason: format!("no response within {} ms", limit.as_millis()),
+        verdict: Verdict::MayHaveRun,
+        is_unreachable: false,
+    }
+}
+
 fn may_have_run(error: &hyper::Error) -> ExchangeFailure {
     ExchangeFailure {
         reason: format!("the connection broke: {error}"),
